--- /dev/null
+++ b/contact/contact.go
@@ -0,0 +1,149 @@
+// Package contact holds the words that the decision module and its hosts share: types only. Times are
+// milliseconds with fractions on the host's clock; a figure that is not known is NaN.
+package contact
+
+// Host is what the decision module may ask of the program it runs in.
+type Host interface {
+	// Ring sends a set-up of c to p and gives up after limit; the ring is c.Out until it ends.
+	Ring(c *Contact, p *Pool, limit float64)
+	// Defer is the final answer "refused"; a wait above 0 asks the caller to stay away so long.
+	Defer(c *Contact, wait float64)
+	// Abandon is the final answer "failed".
+	Abandon(c *Contact)
+	// Cancel stops waiting for a ring; its end comes as any other.
+	Cancel(r *Ring)
+	// Probe asks a pool for a report.
+	Probe(p *Pool)
+	// Tell sends a short message to every other gateway.
+	Tell(data []byte)
+	// Wake calls the module back at or after a time; c may be nil.
+	Wake(at float64, c *Contact)
+}
+
+// State is what the pool list says of a pool.
+type State int
+
+// The states of a pool.
+const (
+	Gone State = iota
+	Ready
+	Draining
+)
+
+// End is how a ring ended.
+type End int
+
+// The ends of a ring.
+const (
+	Done      End = iota // the contact stood and has ended
+	Failed               // a fault after the set-up was looked at
+	Full                 // turned away: no agent, or the processor is too busy
+	TimedOut             // no reply in time; the set-up may go on
+	Refused              // no connection: down or out of reach
+	Reset                // cut
+	Cancelled            // called off
+	Unsent               // it never left
+)
+
+// Report is what a pool says of its load.
+type Report struct {
+	Agents   float64 // agents in all
+	Free     float64 // free agents
+	Util     float64 // busy share of the processor
+	Queue    float64 // set-ups that wait there
+	Inflight float64 // set-ups in process
+	Wait     float64 // the wait at the processor
+	Rate     float64 // set-ups a second it can take from all senders
+	Holdback float64 // share of set-ups it asks each sender to hold back
+}
+
+// Pool is a group of agents behind one processor.
+type Pool struct {
+	Number int     // its number among the pools; contacts name destinations by it
+	Region string  // where it is
+	Kind   string  // its kind of machine
+	State  State   // as the list has it
+	Since  float64 // its latest start; 0: long ago
+	Hint   float64 // size, as the list has it
+	Report Report  // the latest report
+	Notes  any     // the decision module's own notes
+}
+
+// Skill is a class of contacts.
+type Skill struct {
+	Name      string
+	Target    float64      // stands within this: full value
+	Patience  float64      // the caller gives up after this, over all tries
+	Value     float64      // of a contact that stands in time
+	LateValue float64      // share of the value for one that stands later
+	Hold      float64      // mean time that a contact stands
+	Repeat    bool         // a set-up that may have run may be sent again
+	Pools     map[int]bool // numbers of the pools that may take it; nil: all
+}
+
+// Customer is whose contact it is.
+type Customer struct {
+	Name  string
+	Share float64 // of the service
+	Quota float64 // contacts a second, over all gateways, that count in full
+}
+
+// Contact is one try of a caller.
+type Contact struct {
+	Skill      *Skill
+	Customer   *Customer // nil: none
+	Home       *Pool     // the destination, nil if it is not on the list
+	HomeNumber int       // the destination's number
+	Came       float64   // when it was taken
+	Until      float64   // when this try is given up
+	Again      bool      // it was cut before
+	Rings      int       // rings so far
+	Out        *Ring     // the ring that is out, also while the contact stands
+	Stands     bool      // it stands
+	Over       bool      // it has its final answer
+	Last       End       // how the latest ring ended
+	NotTill    float64   // the clear wait: no ring before this
+	ID         any       // the host's own
+}
+
+// Ring is one set-up of a contact at a pool.
+type Ring struct {
+	Contact  *Contact
+	Pool     *Pool
+	Sent     float64
+	Cost     float64 // time from sending until it stood or ended
+	End      End
+	NoAgent  bool    // Full: no agent was free
+	Wait     float64 // Full: the processor asks to stay away so long, or 0
+	Reported bool    // the end brought a report, now in Pool.Report
+	ID       any     // the host's own
+}
+
+// Settings are the deployment's figures, as handed over at start.
+type Settings struct {
+	Me, Gateways int
+	Seed         uint64
+	Region       string
+	Skills       []*Skill
+	Customers    []*Customer
+	OverShare    float64 // worth of a contact beyond its customer's quota
+	Tick         float64 // least time between two batches
+
+	MaxRings   int
+	MayProbe   bool
+	MayTell    bool
+	MayCancel  bool
+	MayWait    bool    // deferred callers are told when to come back
+	MaxWait    float64 // they heed no more than this
+	ByProbe    bool    // reports come only with probes
+	AskPools   bool    // the pool list must be asked for
+	Retransmit float64 // a set-up that waits is sent again after this; 0: never
+
+	Slack       float64 // rule 1: grace for the final answer
+	Grace       float64 // rule 3: sends to a draining pool stop within this
+	ColdShare   float64 // rule 4: a pool starts with this share of its capacity
+	WarmWithin  float64 // and is warm after this
+	TipMultiple float64 // it falls over when sent more than this multiple
+	TipTime     float64 // for this long
+	ClearWait   float64 // rule 5: no ring so long after a time-out, reset or cancel
+}
