Room by expected wait, graded admission, total capacity by rate or agents

The waits still swing by a second and more under overload: the gateways all stop and start together.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -21,7 +21,18 @@
 	noughtShare = 0.1    // design: counts as this free share
 	probeEvery  = 1000.0 // design: where reports come only by probe
 	rateSpan    = 10000.0
-	coldSafety  = 0.5 // part of the cold budget that a gateway uses
+	coldSafety  = 0.5    // part of the cold budget that a gateway uses
+	waitSpan    = 2000.0 // a judgement of a pool's wait fades like this
+	calmShare   = 0.25   // of the answer target: a wait that is in order where set-ups are not repeated
+	roomFrom    = 0.6    // of the wait in order: room begins to shrink
+	roomTo      = 2.0    // of the wait in order: no room is left
+	latest      = 0.7    // of the answer target: no wait beyond this leaves room
+)
+
+// New values of no deployment: how far a contact's worth against the mean widens or narrows the room.
+const (
+	leastWorth = 0.5
+	mostWorth  = 2.0
 )
 
 // Brain is the decision module of one gateway.
@@ -32,17 +43,49 @@
 	draws uint64
 	pools []*contact.Pool // in the order in which they were first listed
 	sends sum
+	came  sum // contacts that came lately
+	worth sum // and their value
 }
 
 // pool is what the module notes of a pool.
 type pool struct {
-	base    float64 // the least set-up time seen
-	queue   float64 // the largest queue seen
-	heard   float64 // when the latest report came
-	fresh   float64 // when it started cold, as far as known; -Inf: long ago
-	budget  float64 // rule 4: set-ups that may go now
-	filled  float64 // rule 4: when the budget was brought up to date
-	noAgent bool    // told with no free agent
+	base    float64         // the least set-up time seen
+	queue   float64         // the largest queue seen
+	heard   float64         // when the latest report came
+	fresh   float64         // when it started cold, as far as known; -Inf: long ago
+	budget  float64         // rule 4: set-ups that may go now
+	filled  float64         // rule 4: when the budget was brought up to date
+	noAgent bool            // told with no free agent
+	wait    float64         // the wait at its processor, as judged
+	judged  float64         // and when
+	out     []*contact.Ring // set-ups under way, the oldest first
+}
+
+// expect is the wait that a set-up sent now must reckon with: the faded judgement, but no less than the
+// oldest set-up under way has waited and the own ones will take.
+func (n *pool) expect(p *contact.Pool, now float64) float64 {
+	w := n.wait * math.Exp((n.judged-now)/waitSpan)
+	if len(n.out) > 0 {
+		w = math.Max(w, now-n.out[0].Sent-n.least())
+		if p.Report.Rate > 0 {
+			w = math.Max(w, float64(len(n.out))*1000/p.Report.Rate)
+		}
+	}
+	return w
+}
+
+// least is the set-up time without a wait, as far as seen.
+func (n *pool) least() float64 {
+	if math.IsInf(n.base, 1) {
+		return 0
+	}
+	return n.base
+}
+
+// judge takes a sample of the wait.
+func (n *pool) judge(now, sample float64) {
+	w := n.wait * math.Exp((n.judged-now)/waitSpan)
+	n.wait, n.judged = (w+math.Max(0, sample))/2, now
 }
 
 // sum is a decaying sum, brought up to date when it is read.
@@ -75,7 +118,7 @@
 var chain []stage
 
 func init() {
-	chain = []stage{{(*Brain).door, (*Brain).doorUp}, {(*Brain).route, (*Brain).routeUp}, {(*Brain).guard, nil},
+	chain = []stage{{(*Brain).door, (*Brain).doorUp}, {(*Brain).admission, nil}, {(*Brain).route, (*Brain).routeUp}, {(*Brain).guard, nil},
 		{(*Brain).ring, nil}}
 }
 
@@ -121,6 +164,8 @@
 // Offered takes a new contact.
 func (b *Brain) Offered(now float64, c *contact.Contact) {
 	b.now = now
+	b.came.add(now, rateSpan, 1)
+	b.worth.add(now, rateSpan, c.Skill.Value)
 	b.advance(c)
 }
 
@@ -209,12 +254,46 @@
 	b.advance(c)
 }
 
+// room is the part of such contacts as c that p's processor has time for, 1 to 0. A repeat of a set-up that
+// waits is work for nothing, so the wait should stay under the time of the first; a contact of more value may
+// wait longer than one of less.
+func (b *Brain) room(c *contact.Contact, p *contact.Pool) float64 {
+	calm := b.set.Retransmit
+	if calm <= 0 || calm > calmShare*c.Skill.Target {
+		calm = calmShare * c.Skill.Target
+	}
+	if came := b.came.read(b.now, rateSpan); came > 0 {
+		calm *= math.Min(mostWorth, math.Max(leastWorth, math.Sqrt(c.Skill.Value*came/b.worth.read(b.now, rateSpan))))
+	}
+	to := math.Min(roomTo*calm, latest*c.Skill.Target)
+	from := math.Min(roomFrom*calm, to/2)
+	return math.Min(1, math.Max(0, (to-note(p).expect(p, b.now))/(to-from)))
+}
+
+// admission defers what cannot be served in time: the document's case of all pools overloaded.
+func (b *Brain) admission(c *contact.Contact, _ **contact.Pool) verdict {
+	best := 0.0
+	for _, p := range b.pools {
+		if b.allowed(c, p) && !note(p).noAgent {
+			best = math.Max(best, b.room(c, p))
+		}
+	}
+	if best < 1 && b.chance() >= best {
+		b.host.Defer(c, 0)
+		return ended
+	}
+	return pass
+}
+
 // route chooses the destination while it has room, else a pool by lottery; with no tickets the contact is
 // deferred.
 func (b *Brain) route(c *contact.Contact, to **contact.Pool) verdict {
-	if h := c.Home; h != nil && b.allowed(c, h) && !note(h).noAgent && b.free(h) > 0 {
-		*to = h
-		return pass
+	h := c.Home
+	if h != nil && b.allowed(c, h) && !note(h).noAgent {
+		if r := b.room(c, h); r >= 1 || b.chance() < r {
+			*to = h
+			return pass
+		}
 	}
 	total := 0.0
 	for _, p := range b.pools {
@@ -236,17 +315,25 @@
 	return pass
 }
 
-// tickets is the document's lottery: total capacity times the square of the relative capacity.
+// tickets is the document's lottery: total capacity times the square of the relative capacity, and the room.
 func (b *Brain) tickets(c *contact.Contact, p *contact.Pool) float64 {
 	if !b.allowed(c, p) || note(p).noAgent {
 		return 0
 	}
-	total := 1.0
-	if !math.IsNaN(p.Report.Rate) {
-		total = p.Report.Rate
+	f := math.Max(noughtShare, b.free(p)) // the wait tells better than a nought whether there is room
+	return size(p) * f * f * b.room(c, p)
+}
+
+// size is the total capacity: the reported set-ups a second, else the agents, which the document names as a
+// measure too, else 1.
+func size(p *contact.Pool) float64 {
+	switch {
+	case !math.IsNaN(p.Report.Rate):
+		return p.Report.Rate
+	case p.Report.Agents > 0:
+		return p.Report.Agents
 	}
-	f := b.free(p)
-	return total * f * f
+	return 1
 }
 
 // free is the relative capacity: the free share of a pool's processor by its latest report.
@@ -278,14 +365,29 @@
 	n := note(r.Pool)
 	if r.Contact.Out == r {
 		n.base = math.Min(n.base, r.Cost)
+		n.judge(b.now, r.Cost-n.base)
+		n.drop(r)
 		return
 	}
+	n.drop(r)
+	if r.End == contact.Full && !r.NoAgent {
+		n.wait, n.judged = math.Max(n.wait, r.Contact.Skill.Target), b.now
+	}
 	b.learn(r.Pool, r.Reported)
 	if r.NoAgent {
 		n.noAgent = true
 	}
 }
 
+func (n *pool) drop(r *contact.Ring) {
+	for i, o := range n.out {
+		if o == r {
+			n.out = append(n.out[:i], n.out[i+1:]...)
+			return
+		}
+	}
+}
+
 // learn takes a pool's latest report.
 func (b *Brain) learn(p *contact.Pool, full bool) {
 	n := note(p)
@@ -294,6 +396,9 @@
 	}
 	if full {
 		n.heard = b.now
+		if !math.IsNaN(p.Report.Wait) {
+			n.judge(b.now, p.Report.Wait)
+		}
 		if !math.IsNaN(p.Report.Queue) {
 			n.queue = math.Max(n.queue, p.Report.Queue)
 		}
@@ -328,14 +433,17 @@
 	if age >= b.set.WarmWithin || b.set.TipMultiple <= 0 {
 		return math.Inf(1)
 	}
-	ready := 0.0
+	share, known := 1.0, 0.0
 	for _, q := range b.pools {
 		if q.State == contact.Ready {
-			ready++
+			known += size(q)
 		}
 	}
+	if known > 0 {
+		share = size(p) / known
+	}
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
-	rate := b.sends.read(b.now, rateSpan) / rateSpan / math.Max(1, ready) * coldSafety * b.set.TipMultiple * part
+	rate := b.sends.read(b.now, rateSpan) / rateSpan * share * coldSafety * b.set.TipMultiple * part
 	n.budget = math.Min(1+rate*b.set.TipTime/2, n.budget+rate*(b.now-n.filled))
 	n.filled = b.now
 	return n.budget
@@ -348,5 +456,6 @@
 	b.sends.add(b.now, rateSpan, 1)
 	c.Rings++
 	b.host.Ring(c, *to, c.Until-b.now)
+	n.out = append(n.out, c.Out)
 	return kept
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -61,12 +61,15 @@
 	want := []float64{20 * 0.5 * 0.5, 10 * 0.8 * 0.8, 30 * 0.2 * 0.2}
 	for i, r := range []contact.Report{{Rate: 20, Util: 0.5}, {Rate: 10, Util: 0.2}, {Rate: 30, Util: 0.8}} {
 		ps[i].Report.Rate, ps[i].Report.Util = r.Rate, r.Util
+		ps[i].Report.Agents = r.Rate
 		h.b.Reported(h.now, ps[i], true, true)
 	}
 	got := map[*contact.Pool]float64{}
 	for i := 0; i < 20000; i++ {
 		offer(h, nil)
 		got[h.rings[i].Pool]++
+		h.rings[i].Cost = 20
+		h.b.Stood(h.now, h.rings[i])
 	}
 	all := want[0] + want[1] + want[2]
 	for i, p := range ps {
