A pace for each pool, a line by worth, and redials told from first tries

Cause: under overload all gateways stopped and started together (99 set-ups in one second, 8 in the next; waits from 0.02 to 1.5 s), and deferred callers' redials, late from their first try, took the place of contacts still in time. Change: each pool has a pace that follows its wait (integral and a proportional lean), contacts wait in a short line by worth, and a redial is known by the number called.

--- a/benchwire/host.go
+++ b/benchwire/host.go
@@ -375,7 +375,7 @@
 		left = c.Skill.Patience
 	}
 	c.Until = h.now + left
-	l.text("routeKey")
+	c.Number = l.text("routeKey")
 	l.flag("mutates")
 	l.num("units", 1)
 	c.Again = l.flag("returned")
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -20,19 +20,22 @@
 	noughtAge   = 2000.0 // design: a nought report older than this
 	noughtShare = 0.1    // design: counts as this free share
 	probeEvery  = 1000.0 // design: where reports come only by probe
-	rateSpan    = 10000.0
-	coldSafety  = 0.5    // part of the cold budget that a gateway uses
-	waitSpan    = 2000.0 // a judgement of a pool's wait fades like this
-	calmShare   = 0.25   // of the answer target: a wait that is in order where set-ups are not repeated
-	roomFrom    = 0.6    // of the wait in order: room begins to shrink
-	roomTo      = 2.0    // of the wait in order: no room is left
-	latest      = 0.7    // of the answer target: no wait beyond this leaves room
-)
 
-// New values of no deployment: how far a contact's worth against the mean widens or narrows the room.
-const (
-	leastWorth = 0.5
-	mostWorth  = 2.0
+	span       = 5000.0 // counts fade like this
+	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
+	coldSafety = 0.5    // part of the cold budget that a gateway uses
+	goalRepeat = 0.6    // the wait aimed at: this part of the time of the first repeat
+	goalTarget = 0.15   // and no more than this part of the shortest answer target
+	growth     = 0.5    // a second: how fast a pace grows at no wait
+	decline    = 1.0    // a second: how fast it falls at twice the wait aimed at
+	lean       = 0.4    // how far the pace leans at once against the wait
+	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
+	leastPace  = 0.0002 // set-ups a millisecond that a pool always gets
+	release    = 3.0    // a pace of so many times what is sent binds nothing: it is dropped
+	patienceIn = 0.35   // of the answer target: so long a contact may wait in line here
+	stuckShare = 0.35   // of the answer target: a set-up without sign of life is called off after this
+	agentShare = 0.03   // of the agents: with fewer free a pool is taken by chance only
+	lookAgain  = 20.0   // how often the line is looked at
 )
 
 // Brain is the decision module of one gateway.
@@ -41,10 +44,20 @@
 	host  contact.Host
 	now   float64
 	draws uint64
-	pools []*contact.Pool // in the order in which they were first listed
-	sends sum
-	came  sum // contacts that came lately
-	worth sum // and their value
+	goal  float64            // the wait aimed at in a pool
+	pools []*contact.Pool    // in the order in which they were first listed
+	line  []*contact.Contact // contacts that wait for room, the most valuable first
+	awake bool               // the line will be looked at
+	sends sum                // set-ups sent lately
+	tried map[caller]float64 // callers who went unserved, and when they first came
+	swept float64            // when those who have given up were last forgotten
+}
+
+// caller is what a redial has in common with the try before it.
+type caller struct {
+	number   string
+	skill    *contact.Skill
+	customer *contact.Customer
 }
 
 // pool is what the module notes of a pool.
@@ -52,52 +65,34 @@
 	base    float64         // the least set-up time seen
 	queue   float64         // the largest queue seen
 	heard   float64         // when the latest report came
-	fresh   float64         // when it started cold, as far as known; -Inf: long ago
-	budget  float64         // rule 4: set-ups that may go now
-	filled  float64         // rule 4: when the budget was brought up to date
+	life    float64         // when it last gave a sign of life
+	silent  int             // set-ups called off since then
 	noAgent bool            // told with no free agent
 	wait    float64         // the wait at its processor, as judged
 	judged  float64         // and when
 	out     []*contact.Ring // set-ups under way, the oldest first
-}
-
-// expect is the wait that a set-up sent now must reckon with: the faded judgement, but no less than the
-// oldest set-up under way has waited and the own ones will take.
-func (n *pool) expect(p *contact.Pool, now float64) float64 {
-	w := n.wait * math.Exp((n.judged-now)/waitSpan)
-	if len(n.out) > 0 {
-		w = math.Max(w, now-n.out[0].Sent-n.least())
-		if p.Report.Rate > 0 {
-			w = math.Max(w, float64(len(n.out))*1000/p.Report.Rate)
-		}
-	}
-	return w
-}
-
-// least is the set-up time without a wait, as far as seen.
-func (n *pool) least() float64 {
-	if math.IsInf(n.base, 1) {
-		return 0
-	}
-	return n.base
-}
-
-// judge takes a sample of the wait.
-func (n *pool) judge(now, sample float64) {
-	w := n.wait * math.Exp((n.judged-now)/waitSpan)
-	n.wait, n.judged = (w+math.Max(0, sample))/2, now
+	sent    sum             // set-ups sent lately
+	pace    float64         // set-ups a millisecond that it gets from here; +Inf: all
+	tokens  float64         // set-ups that may go now
+	filled  float64         // when pace and tokens were brought up to date
+	fresh   float64         // rule 4: when it started cold, as far as known; -Inf: long ago
+	budget  float64         // rule 4: set-ups that may go now
+	counted float64         // rule 4: when the budget was brought up to date
 }
 
 // sum is a decaying sum, brought up to date when it is read.
 type sum struct{ v, at float64 }
 
-func (s *sum) read(now, span float64) float64 {
+func (s *sum) read(now float64) float64 {
 	s.v *= math.Exp((s.at - now) / span)
 	s.at = now
 	return s.v
 }
 
-func (s *sum) add(now, span, v float64) { s.v, s.at = s.read(now, span)+v, now }
+func (s *sum) add(now, v float64) { s.v, s.at = s.read(now)+v, now }
+
+// rate is the sum's count a millisecond.
+func (s *sum) rate(now float64) float64 { return s.read(now) / span }
 
 // verdict is what a stage makes of a contact.
 type verdict int
@@ -108,27 +103,37 @@
 	ended
 )
 
-// stage is a link of the chain: down takes a contact that wants a ring to the pool chosen so far, up hears how
-// a ring went.
+// stage is a link of the chain: down takes a contact on its way to a pool, up hears how a ring went.
 type stage struct {
 	down func(*Brain, *contact.Contact, **contact.Pool) verdict
 	up   func(*Brain, *contact.Ring)
 }
 
-var chain []stage
+var chain [5]stage
+
+const afterLine = 2 // the first stage behind the line
 
 func init() {
-	chain = []stage{{(*Brain).door, (*Brain).doorUp}, {(*Brain).admission, nil}, {(*Brain).route, (*Brain).routeUp}, {(*Brain).guard, nil},
-		{(*Brain).ring, nil}}
+	chain = [...]stage{{(*Brain).door, (*Brain).doorUp}, {(*Brain).admission, nil},
+		{(*Brain).route, (*Brain).routeUp}, {(*Brain).guard, nil}, {(*Brain).ring, (*Brain).ringUp}}
 }
 
 // New makes the module of one gateway.
-func New(s *contact.Settings, h contact.Host) *Brain { return &Brain{set: s, host: h} }
+func New(s *contact.Settings, h contact.Host) *Brain {
+	b := &Brain{set: s, host: h, goal: math.Inf(1), tried: map[caller]float64{}}
+	for _, k := range s.Skills {
+		b.goal = math.Min(b.goal, goalTarget*k.Target)
+	}
+	if s.Retransmit > 0 {
+		b.goal = math.Min(b.goal, goalRepeat*s.Retransmit)
+	}
+	return b
+}
 
-// advance sends a contact down the chain.
-func (b *Brain) advance(c *contact.Contact) {
+// advance sends a contact down the chain from a stage on.
+func (b *Brain) advance(c *contact.Contact, from int) {
 	var p *contact.Pool
-	for _, s := range chain {
+	for _, s := range chain[from:] {
 		if s.down(b, c, &p) != pass {
 			return
 		}
@@ -149,7 +154,8 @@
 	b.now = now
 	for _, p := range changed {
 		if p.Notes == nil {
-			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1)}
+			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), tokens: 1, filled: now,
+				counted: now}
 			b.pools = append(b.pools, p)
 		}
 		if n := note(p); p.Since > n.fresh && p.Since > 0 {
@@ -164,9 +170,13 @@
 // Offered takes a new contact.
 func (b *Brain) Offered(now float64, c *contact.Contact) {
 	b.now = now
-	b.came.add(now, rateSpan, 1)
-	b.worth.add(now, rateSpan, c.Skill.Value)
-	b.advance(c)
+	c.First = now
+	id := caller{c.Number, c.Skill, c.Customer}
+	if first, again := b.tried[id]; again && now < first+c.Skill.Patience {
+		c.First = first
+		delete(b.tried, id)
+	}
+	b.advance(c, 0)
 }
 
 // Stood hears that a ring's contact stands.
@@ -175,14 +185,17 @@
 	b.back(r)
 }
 
-// Ended hears how a ring ended.
+// Ended hears how a ring ended; closed: its contact needs no answer any more.
 func (b *Brain) Ended(now float64, r *contact.Ring, closed bool) {
 	b.now = now
 	b.back(r)
 }
 
 // Left hears that a caller is gone.
-func (b *Brain) Left(now float64, c *contact.Contact) { b.now = now }
+func (b *Brain) Left(now float64, c *contact.Contact) {
+	b.now = now
+	b.unserved(c)
+}
 
 // Reported hears a report that came by itself or for a probe.
 func (b *Brain) Reported(now float64, p *contact.Pool, ok, full bool) {
@@ -193,21 +206,19 @@
 // Told hears another gateway.
 func (b *Brain) Told(now float64, from int, data []byte) { b.now = now }
 
-// Woken goes on with a contact that was kept, or probes.
+// Woken goes on with a contact, or with the line.
 func (b *Brain) Woken(now float64, c *contact.Contact) {
 	b.now = now
-	if c != nil {
-		if !c.Over && c.Out == nil {
-			b.advance(c)
-		}
-		return
-	}
-	for _, p := range b.pools {
-		if p.State == contact.Ready && b.set.MayProbe {
-			b.host.Probe(p)
-		}
+	switch {
+	case c == nil:
+		b.awake = false
+		b.serve()
+	case c.Over || c.Stands:
+	case c.Out != nil:
+		b.rescue(c.Out)
+	case !c.InLine:
+		b.advance(c, 0)
 	}
-	b.host.Wake(now+probeEvery, nil)
 }
 
 func note(p *contact.Pool) *pool { return p.Notes.(*pool) }
@@ -225,11 +236,46 @@
 	return float64((v^v>>33)>>11) / (1 << 53)
 }
 
+// unserved remembers a caller who may dial again: a redial still has to stand within the target of the first
+// try, so one that comes later is worth less than a first try.
+func (b *Brain) unserved(c *contact.Contact) {
+	if b.now-b.swept > c.Skill.Patience {
+		b.swept = b.now
+		for id, first := range b.tried {
+			if b.now > first+id.skill.Patience {
+				delete(b.tried, id)
+			}
+		}
+	}
+	b.tried[caller{c.Number, c.Skill, c.Customer}] = c.First
+}
+
+// shed is the final answer "deferred".
+func (b *Brain) shed(c *contact.Contact) verdict {
+	b.unserved(c)
+	b.host.Defer(c, 0)
+	return ended
+}
+
+// giveUp is the final answer "abandoned".
+func (b *Brain) giveUp(c *contact.Contact) verdict {
+	b.unserved(c)
+	b.host.Abandon(c)
+	return ended
+}
+
+// worth is what a contact is worth if it stands soon.
+func (b *Brain) worth(c *contact.Contact) float64 {
+	if b.now+b.goal > c.First+c.Skill.Target {
+		return c.Skill.Value * c.Skill.LateValue
+	}
+	return c.Skill.Value
+}
+
 // door keeps a contact until it may ring and ends it when its time is up.
 func (b *Brain) door(c *contact.Contact, _ **contact.Pool) verdict {
 	if c.Until-b.now <= b.set.Tick || c.Rings >= b.set.MaxRings {
-		b.host.Abandon(c)
-		return ended
+		return b.giveUp(c)
 	}
 	if c.NotTill > b.now {
 		b.host.Wake(c.NotTill, c)
@@ -247,53 +293,119 @@
 	if r.End == contact.TimedOut || r.End == contact.Reset || r.End == contact.Cancelled {
 		c.NotTill = b.now + b.set.ClearWait // rule 5
 	}
-	if math.Max(c.NotTill, b.now) > c.Came+c.Skill.Target {
-		b.host.Abandon(c)
+	if math.Max(c.NotTill, b.now)+b.goal > c.Came+c.Skill.Target {
+		b.giveUp(c)
 		return
 	}
-	b.advance(c)
+	b.advance(c, 0)
 }
 
-// room is the part of such contacts as c that p's processor has time for, 1 to 0. A repeat of a set-up that
-// waits is work for nothing, so the wait should stay under the time of the first; a contact of more value may
-// wait longer than one of less.
-func (b *Brain) room(c *contact.Contact, p *contact.Pool) float64 {
-	calm := b.set.Retransmit
-	if calm <= 0 || calm > calmShare*c.Skill.Target {
-		calm = calmShare * c.Skill.Target
+// admission keeps contacts in line while no pool has room and defers the least valuable when not all can be
+// served in time: the document's case of all pools overloaded, take what can be taken and shed the rest.
+func (b *Brain) admission(c *contact.Contact, _ **contact.Pool) verdict {
+	if len(b.line) == 0 && b.anyRoom(c) {
+		return pass
+	}
+	c.InLine = true
+	at := len(b.line)
+	for at > 0 && b.worth(b.line[at-1]) < b.worth(c) {
+		at--
+	}
+	b.line = append(b.line, nil)
+	copy(b.line[at+1:], b.line[at:])
+	b.line[at] = c
+	b.serve()
+	return kept
+}
+
+// serve lets contacts in line go on while there is room, and defers those that must not wait longer or are too
+// far back to be served in time.
+func (b *Brain) serve() {
+	pace := 0.0
+	for _, p := range b.pools {
+		if p.State == contact.Ready {
+			b.fill(p)
+			pace += note(p).pace
+		}
+	}
+	line := b.line
+	b.line = nil
+	ahead := 0.0
+	var rest []*contact.Contact
+	for _, c := range line {
+		limit := patienceIn * math.Min(c.Skill.Target, c.Until-c.Came)
+		switch {
+		case c.Over:
+		case b.anyRoom(c):
+			c.InLine = false
+			b.advance(c, afterLine)
+		case b.now-c.Came > limit && c.Rings == 0, b.now+b.goal > c.Came+c.Skill.Target, ahead >= pace*limit:
+			c.InLine = false
+			b.shed(c)
+		default:
+			rest = append(rest, c)
+			ahead++
+		}
 	}
-	if came := b.came.read(b.now, rateSpan); came > 0 {
-		calm *= math.Min(mostWorth, math.Max(leastWorth, math.Sqrt(c.Skill.Value*came/b.worth.read(b.now, rateSpan))))
+	b.line = append(rest, b.line...)
+	if len(b.line) > 0 && !b.awake {
+		b.awake = true
+		b.host.Wake(b.now+lookAgain, nil)
 	}
-	to := math.Min(roomTo*calm, latest*c.Skill.Target)
-	from := math.Min(roomFrom*calm, to/2)
-	return math.Min(1, math.Max(0, (to-note(p).expect(p, b.now))/(to-from)))
 }
 
-// admission defers what cannot be served in time: the document's case of all pools overloaded.
-func (b *Brain) admission(c *contact.Contact, _ **contact.Pool) verdict {
-	best := 0.0
+func (b *Brain) anyRoom(c *contact.Contact) bool {
 	for _, p := range b.pools {
-		if b.allowed(c, p) && !note(p).noAgent {
-			best = math.Max(best, b.room(c, p))
+		if b.room(c, p) {
+			return true
 		}
 	}
-	if best < 1 && b.chance() >= best {
-		b.host.Defer(c, 0)
-		return ended
+	return false
+}
+
+// room tells whether p has room for c: the rules allow it, and its pace has a token left.
+func (b *Brain) room(c *contact.Contact, p *contact.Pool) bool {
+	if !b.allowed(c, p) || note(p).noAgent {
+		return false
 	}
-	return pass
+	b.fill(p)
+	return note(p).tokens >= 1
 }
 
-// route chooses the destination while it has room, else a pool by lottery; with no tickets the contact is
-// deferred.
+// fill brings a pool's pace and tokens up to date. While set-ups there wait longer than aimed at, the pace
+// falls, else it grows: gateways that each do so share the pool's processor without knowing of each other, and
+// do not all stop and start together.
+func (b *Brain) fill(p *contact.Pool) {
+	n := note(p)
+	dt := b.now - n.filled
+	n.filled = b.now
+	off := math.Max(worst, 1-n.expect(p, b.now)/b.goal)
+	sent := n.sent.rate(b.now)
+	if math.IsInf(n.pace, 1) {
+		n.tokens = 1
+		if off >= 0 {
+			return
+		}
+		n.pace = sent
+	}
+	turn := growth
+	if off < 0 {
+		turn = decline
+	}
+	n.pace = math.Max(leastPace, n.pace*math.Exp(off*turn*dt/1000))
+	if off > 0 && n.pace > release*sent+10*leastPace {
+		n.pace = math.Inf(1)
+		return
+	}
+	n.tokens = math.Min(1+n.pace*b.goal, n.tokens+dt*n.pace*(1+lean*off))
+}
+
+// route chooses the destination while it has room, else a pool by lottery.
 func (b *Brain) route(c *contact.Contact, to **contact.Pool) verdict {
 	h := c.Home
-	if h != nil && b.allowed(c, h) && !note(h).noAgent {
-		if r := b.room(c, h); r >= 1 || b.chance() < r {
-			*to = h
-			return pass
-		}
+	if h != nil && b.room(c, h) && b.chance() < agents(h) {
+		*to = h
+		return pass
 	}
 	total := 0.0
 	for _, p := range b.pools {
@@ -309,19 +421,27 @@
 		}
 	}
 	if *to == nil {
-		b.host.Defer(c, 0)
-		return ended
+		return b.shed(c)
 	}
 	return pass
 }
 
-// tickets is the document's lottery: total capacity times the square of the relative capacity, and the room.
+// tickets is the document's lottery: total capacity times the square of the relative capacity.
 func (b *Brain) tickets(c *contact.Contact, p *contact.Pool) float64 {
-	if !b.allowed(c, p) || note(p).noAgent {
+	if !b.room(c, p) {
 		return 0
 	}
 	f := math.Max(noughtShare, b.free(p)) // the wait tells better than a nought whether there is room
-	return size(p) * f * f * b.room(c, p)
+	return size(p) * f * f * agents(p)
+}
+
+// agents is 1 while a pool has agents enough, and falls to 0 with the last ones: the figure is late, and every
+// gateway has the same.
+func agents(p *contact.Pool) float64 {
+	if !(p.Report.Agents > 0) || math.IsNaN(p.Report.Free) {
+		return 1
+	}
+	return math.Min(1, p.Report.Free/(agentShare*p.Report.Agents))
 }
 
 // size is the total capacity: the reported set-ups a second, else the agents, which the document names as a
@@ -363,29 +483,17 @@
 // routeUp learns a pool's state from what a ring brought.
 func (b *Brain) routeUp(r *contact.Ring) {
 	n := note(r.Pool)
-	if r.Contact.Out == r {
+	switch {
+	case r.Contact.Out == r:
 		n.base = math.Min(n.base, r.Cost)
 		n.judge(b.now, r.Cost-n.base)
-		n.drop(r)
 		return
-	}
-	n.drop(r)
-	if r.End == contact.Full && !r.NoAgent {
-		n.wait, n.judged = math.Max(n.wait, r.Contact.Skill.Target), b.now
-	}
-	b.learn(r.Pool, r.Reported)
-	if r.NoAgent {
+	case r.End == contact.Full && r.NoAgent:
 		n.noAgent = true
+	case r.End == contact.Full, r.End == contact.TimedOut, r.End == contact.Cancelled, r.End == contact.Refused:
+		n.wait, n.judged = math.Max(n.wait, math.Max(r.Cost, -worst*2*b.goal)), b.now
 	}
-}
-
-func (n *pool) drop(r *contact.Ring) {
-	for i, o := range n.out {
-		if o == r {
-			n.out = append(n.out[:i], n.out[i+1:]...)
-			return
-		}
-	}
+	b.learn(r.Pool, r.Reported)
 }
 
 // learn takes a pool's latest report.
@@ -405,11 +513,34 @@
 	}
 }
 
+// expect is the wait that a set-up sent now must reckon with: the faded judgement, but no less than the
+// oldest set-up under way has waited.
+func (n *pool) expect(p *contact.Pool, now float64) float64 {
+	w := n.wait * math.Exp((n.judged-now)/waitSpan)
+	if len(n.out) > 0 {
+		w = math.Max(w, now-n.out[0].Sent-n.least())
+	}
+	return w
+}
+
+// least is the set-up time without a wait, as far as seen.
+func (n *pool) least() float64 {
+	if math.IsInf(n.base, 1) {
+		return 0
+	}
+	return n.base
+}
+
+// judge takes a sample of the wait.
+func (n *pool) judge(now, sample float64) {
+	w := n.wait * math.Exp((n.judged-now)/waitSpan)
+	n.wait, n.judged = (w+math.Max(0, sample))/2, now
+}
+
 // guard is the last word on every send: what the rules do not allow does not pass.
 func (b *Brain) guard(c *contact.Contact, to **contact.Pool) verdict {
 	if !b.allowed(c, *to) {
-		b.host.Defer(c, 0)
-		return ended
+		return b.shed(c)
 	}
 	return pass
 }
@@ -443,9 +574,9 @@
 		share = size(p) / known
 	}
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
-	rate := b.sends.read(b.now, rateSpan) / rateSpan * share * coldSafety * b.set.TipMultiple * part
-	n.budget = math.Min(1+rate*b.set.TipTime/2, n.budget+rate*(b.now-n.filled))
-	n.filled = b.now
+	rate := b.sends.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
+	n.budget = math.Min(1+rate*b.set.TipTime/2, n.budget+rate*(b.now-n.counted))
+	n.counted = b.now
 	return n.budget
 }
 
@@ -453,9 +584,46 @@
 func (b *Brain) ring(c *contact.Contact, to **contact.Pool) verdict {
 	n := note(*to)
 	n.budget--
-	b.sends.add(b.now, rateSpan, 1)
+	n.tokens--
+	n.sent.add(b.now, 1)
+	b.sends.add(b.now, 1)
 	c.Rings++
+	if b.set.MayCancel {
+		b.host.Wake(b.now+math.Max(stuckShare*c.Skill.Target, 2*n.expect(*to, b.now)), c)
+	}
 	b.host.Ring(c, *to, c.Until-b.now)
 	n.out = append(n.out, c.Out)
 	return kept
 }
+
+// ringUp notes that a set-up is no longer under way, and the pool's signs of life. A pool that was silent or
+// could not be reached has started anew when it answers, and is cold, whatever the list says of it.
+func (b *Brain) ringUp(r *contact.Ring) {
+	n := note(r.Pool)
+	for i, o := range n.out {
+		if o == r {
+			n.out = append(n.out[:i], n.out[i+1:]...)
+			break
+		}
+	}
+	switch {
+	case r.Contact.Out != r && r.End == contact.Refused:
+		n.fresh = b.now
+	case r.Contact.Out != r && (r.End == contact.TimedOut || r.End == contact.Cancelled || r.End == contact.Unsent):
+	default:
+		if n.silent > 1 {
+			n.fresh = b.now
+		}
+		n.life, n.silent = b.now, 0
+	}
+}
+
+// rescue calls off a set-up to a pool that has given no sign of life since it was sent, early enough to try
+// another: a silent processor, a lost path.
+func (b *Brain) rescue(r *contact.Ring) {
+	n := note(r.Pool)
+	if n.life < r.Sent && b.now+b.set.ClearWait+b.goal < r.Contact.Came+r.Contact.Skill.Target {
+		n.silent++
+		b.host.Cancel(r)
+	}
+}
--- a/contact/contact.go
+++ b/contact/contact.go
@@ -94,6 +94,9 @@
 	Customer   *Customer // nil: none
 	Home       *Pool     // the destination, nil if it is not on the list
 	HomeNumber int       // the destination's number
+	Number     string    // the number called
+	First      float64   // when its caller first came, as far as the module can tell
+	InLine     bool      // the module keeps it until there is room
 	Came       float64   // when it was taken
 	Until      float64   // when this try is given up
 	Again      bool      // it was cut before
