Agents shared by pace, cold budget mended, no rush when a pool turns warm

Rings again ran past a short patience. Change: the press on a pool's agents counts like its wait; the budget stands still on warm pools; a cold pool's pace follows the budget.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,7 +34,8 @@
 	release    = 3.0    // a pace of so many times what is sent binds nothing: it is dropped
 	patienceIn = 0.35   // of the answer target: so long a contact may wait in line here
 	stuckShare = 0.35   // of the answer target: a set-up without sign of life is called off after this
-	agentShare = 0.03   // of the agents: with fewer free a pool is taken by chance only
+	agentShare = 0.03   // of the agents: with fewer free the pace falls
+	agentLeast = 3.0    // but no fewer agents than this
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -293,7 +294,7 @@
 	if r.End == contact.TimedOut || r.End == contact.Reset || r.End == contact.Cancelled {
 		c.NotTill = b.now + b.set.ClearWait // rule 5
 	}
-	if math.Max(c.NotTill, b.now)+b.goal > c.Came+c.Skill.Target {
+	if from := math.Max(c.NotTill, b.now); from+b.goal > c.Came+c.Skill.Target || from+2*lookAgain > c.Until {
 		b.giveUp(c)
 		return
 	}
@@ -339,7 +340,8 @@
 		case b.anyRoom(c):
 			c.InLine = false
 			b.advance(c, afterLine)
-		case b.now-c.Came > limit && c.Rings == 0, b.now+b.goal > c.Came+c.Skill.Target, ahead >= pace*limit:
+		case b.now-c.Came > limit && c.Rings == 0, b.now+b.goal > c.Came+c.Skill.Target, ahead >= pace*limit,
+			b.now+2*lookAgain > c.Until: // the last guards rule 1: nobody may be forgotten in line
 			c.InLine = false
 			b.shed(c)
 		default:
@@ -379,7 +381,7 @@
 	n := note(p)
 	dt := b.now - n.filled
 	n.filled = b.now
-	off := math.Max(worst, 1-n.expect(p, b.now)/b.goal)
+	off := math.Max(worst, 1-math.Max(n.expect(p, b.now)/b.goal, agents(p)))
 	sent := n.sent.rate(b.now)
 	if math.IsInf(n.pace, 1) {
 		n.tokens = 1
@@ -400,10 +402,19 @@
 	n.tokens = math.Min(1+n.pace*b.goal, n.tokens+dt*n.pace*(1+lean*off))
 }
 
+// agents is the press on a pool's agents, 0 to 2: it is 1 with half of a small reserve free. The figure is late
+// and every gateway has the same, so the last agents are shared by pace, not raced for.
+func agents(p *contact.Pool) float64 {
+	if !(p.Report.Agents > 0) || math.IsNaN(p.Report.Free) {
+		return 0
+	}
+	return math.Max(0, 2-2*p.Report.Free/math.Max(agentLeast, agentShare*p.Report.Agents))
+}
+
 // route chooses the destination while it has room, else a pool by lottery.
 func (b *Brain) route(c *contact.Contact, to **contact.Pool) verdict {
 	h := c.Home
-	if h != nil && b.room(c, h) && b.chance() < agents(h) {
+	if h != nil && b.room(c, h) {
 		*to = h
 		return pass
 	}
@@ -432,16 +443,7 @@
 		return 0
 	}
 	f := math.Max(noughtShare, b.free(p)) // the wait tells better than a nought whether there is room
-	return size(p) * f * f * agents(p)
-}
-
-// agents is 1 while a pool has agents enough, and falls to 0 with the last ones: the figure is late, and every
-// gateway has the same.
-func agents(p *contact.Pool) float64 {
-	if !(p.Report.Agents > 0) || math.IsNaN(p.Report.Free) {
-		return 1
-	}
-	return math.Min(1, p.Report.Free/(agentShare*p.Report.Agents))
+	return size(p) * f * f
 }
 
 // size is the total capacity: the reported set-ups a second, else the agents, which the document names as a
@@ -489,7 +491,8 @@
 		n.judge(b.now, r.Cost-n.base)
 		return
 	case r.End == contact.Full && r.NoAgent:
-		n.noAgent = true
+		n.noAgent, r.Pool.Report.Free = true, 0
+		return // the report with it is older than that
 	case r.End == contact.Full, r.End == contact.TimedOut, r.End == contact.Cancelled, r.End == contact.Refused:
 		n.wait, n.judged = math.Max(n.wait, math.Max(r.Cost, -worst*2*b.goal)), b.now
 	}
@@ -562,6 +565,7 @@
 	n := note(p)
 	age := b.now - n.fresh
 	if age >= b.set.WarmWithin || b.set.TipMultiple <= 0 {
+		n.budget, n.counted = 1, b.now
 		return math.Inf(1)
 	}
 	share, known := 1.0, 0.0
@@ -575,6 +579,7 @@
 	}
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
 	rate := b.sends.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
+	n.pace = math.Max(leastPace, math.Min(n.pace, rate)) // and no rush when it is warm
 	n.budget = math.Min(1+rate*b.set.TipTime/2, n.budget+rate*(b.now-n.counted))
 	n.counted = b.now
 	return n.budget
