Cold budget from first tries; pools begin anew after a restart; bounded pace

Change: first tries stand for the load in rule 4's budget; a pool that starts anew has its judgement cleared; a silent pool gets one set-up at a time; a pace is at most three times what is sent lately or two even parts of the rated capacity.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -23,7 +23,7 @@
 
 	span       = 5000.0 // counts fade like this
 	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
-	coldSafety = 0.5    // part of the cold budget that a gateway uses
+	coldSafety = 0.4    // part of the cold budget that a gateway uses
 	goalRepeat = 0.6    // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
 	growth     = 0.5    // a second: how fast a pace grows at no wait
@@ -31,7 +31,8 @@
 	lean       = 0.4    // how far the pace leans at once against the wait
 	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
 	leastPace  = 0.0002 // set-ups a millisecond that a pool always gets
-	release    = 3.0    // a pace of so many times what is sent binds nothing: it is dropped
+	release    = 3.0    // a pace is no more than so many times what is sent lately,
+	evenPart   = 2.0    // or than so many even parts of what the pool is rated for
 	patienceIn = 0.35   // of the answer target: so long a contact may wait in line here
 	stuckShare = 0.35   // of the answer target: a set-up without sign of life is called off after this
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
@@ -49,7 +50,7 @@
 	pools []*contact.Pool    // in the order in which they were first listed
 	line  []*contact.Contact // contacts that wait for room, the most valuable first
 	awake bool               // the line will be looked at
-	sends sum                // set-ups sent lately
+	came  sum                // first tries that came lately
 	tried map[caller]float64 // callers who went unserved, and when they first came
 	swept float64            // when those who have given up were last forgotten
 }
@@ -160,7 +161,7 @@
 			b.pools = append(b.pools, p)
 		}
 		if n := note(p); p.Since > n.fresh && p.Since > 0 {
-			n.fresh = p.Since
+			n.restart(p.Since)
 		}
 	}
 	if b.set.ByProbe && len(changed) > 0 {
@@ -176,6 +177,8 @@
 	if first, again := b.tried[id]; again && now < first+c.Skill.Patience {
 		c.First = first
 		delete(b.tried, id)
+	} else {
+		b.came.add(now, 1)
 	}
 	b.advance(c, 0)
 }
@@ -371,7 +374,11 @@
 		return false
 	}
 	b.fill(p)
-	return note(p).tokens >= 1
+	n := note(p)
+	if n.silent > 1 && (len(n.out) > 0 || b.now-n.life < probeEvery) {
+		return false // a pool that is silent gets one set-up at a time to show that it is back
+	}
+	return n.tokens >= 1
 }
 
 // fill brings a pool's pace and tokens up to date. While set-ups there wait longer than aimed at, the pace
@@ -381,25 +388,18 @@
 	n := note(p)
 	dt := b.now - n.filled
 	n.filled = b.now
+	had := n.tokens
 	off := math.Max(worst, 1-math.Max(n.expect(p, b.now)/b.goal, agents(p)))
-	sent := n.sent.rate(b.now)
-	if math.IsInf(n.pace, 1) {
-		n.tokens = 1
-		if off >= 0 {
-			return
-		}
-		n.pace = sent
-	}
 	turn := growth
 	if off < 0 {
 		turn = decline
 	}
-	n.pace = math.Max(leastPace, n.pace*math.Exp(off*turn*dt/1000))
-	if off > 0 && n.pace > release*sent+10*leastPace {
-		n.pace = math.Inf(1)
-		return
+	most := math.Max(release*n.sent.rate(b.now), evenPart*b.rated(p)/float64(max(1, b.set.Gateways)))
+	n.pace = math.Max(leastPace, math.Min(most, n.pace*math.Exp(off*turn*dt/1000)))
+	n.tokens = 1
+	if !math.IsInf(n.pace, 1) {
+		n.tokens = math.Min(1+n.pace*b.goal, had+dt*n.pace*(1+lean*off))
 	}
-	n.tokens = math.Min(1+n.pace*b.goal, n.tokens+dt*n.pace*(1+lean*off))
 }
 
 // agents is the press on a pool's agents, 0 to 2: it is 1 with half of a small reserve free. The figure is late
@@ -446,6 +446,21 @@
 	return size(p) * f * f
 }
 
+// rated is about how many set-ups a millisecond a pool can take from all gateways.
+func (b *Brain) rated(p *contact.Pool) float64 {
+	if !math.IsNaN(p.Report.Rate) {
+		return p.Report.Rate / 1000
+	}
+	hold := 0.0
+	for _, k := range b.set.Skills {
+		hold = math.Max(hold, k.Hold)
+	}
+	if p.Report.Agents > 0 && hold > 0 {
+		return p.Report.Agents / hold
+	}
+	return math.Inf(1)
+}
+
 // size is the total capacity: the reported set-ups a second, else the agents, which the document names as a
 // measure too, else 1.
 func size(p *contact.Pool) float64 {
@@ -559,8 +574,9 @@
 }
 
 // cold is rule 4's budget: the set-ups that this gateway may send a cold pool now; +Inf where it is warm. All
-// gateways together keep the rule if each sends no more than the stated multiple of what it sends a warm pool,
-// scaled down to what the pool can do at its present age.
+// gateways together keep the rule if each sends no more than the stated multiple of its part of a warm pool's load,
+// scaled down to what the pool can do at its present age. First tries stand for what it sends: they do not fall
+// to nothing with the pools.
 func (b *Brain) cold(p *contact.Pool) float64 {
 	n := note(p)
 	age := b.now - n.fresh
@@ -578,7 +594,7 @@
 		share = size(p) / known
 	}
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
-	rate := b.sends.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
+	rate := b.came.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
 	n.pace = math.Max(leastPace, math.Min(n.pace, rate)) // and no rush when it is warm
 	n.budget = math.Min(1+rate*b.set.TipTime/2, n.budget+rate*(b.now-n.counted))
 	n.counted = b.now
@@ -591,7 +607,6 @@
 	n.budget--
 	n.tokens--
 	n.sent.add(b.now, 1)
-	b.sends.add(b.now, 1)
 	c.Rings++
 	if b.set.MayCancel {
 		b.host.Wake(b.now+math.Max(stuckShare*c.Skill.Target, 2*n.expect(*to, b.now)), c)
@@ -613,16 +628,21 @@
 	}
 	switch {
 	case r.Contact.Out != r && r.End == contact.Refused:
-		n.fresh = b.now
+		n.silent += 2
 	case r.Contact.Out != r && (r.End == contact.TimedOut || r.End == contact.Cancelled || r.End == contact.Unsent):
 	default:
-		if n.silent > 1 {
-			n.fresh = b.now
+		if n.silent > 1 && b.now-n.fresh > b.set.WarmWithin {
+			n.restart(b.now)
 		}
 		n.life, n.silent = b.now, 0
 	}
 }
 
+// restart begins a pool's notes anew: its processor has started cold.
+func (n *pool) restart(at float64) {
+	n.fresh, n.wait, n.pace, n.silent = at, 0, math.Inf(1), 0
+}
+
 // rescue calls off a set-up to a pool that has given no sign of life since it was sent, early enough to try
 // another: a silent processor, a lost path.
 func (b *Brain) rescue(r *contact.Ring) {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -66,6 +66,7 @@
 	}
 	got := map[*contact.Pool]float64{}
 	for i := 0; i < 20000; i++ {
+		h.now += 1000
 		offer(h, nil)
 		got[h.rings[i].Pool]++
 		h.rings[i].Cost = 20
