--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,7 +32,8 @@
 	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
 	leastPace  = 0.0002 // set-ups a millisecond that a pool always gets
 	release    = 3.0    // a pace is no more than so many times what is sent lately,
-	evenPart   = 2.0    // or than so many even parts of what the pool is rated for
+	mostEven   = 2.0    // or than so many even parts of what the pool is rated for,
+	leastEven  = 0.1    // and no less than this one
 	patienceIn = 0.35   // of the answer target: so long a contact may wait in line here
 	stuckShare = 0.35   // of the answer target: a set-up without sign of life is called off after this
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
@@ -394,8 +395,12 @@
 	if off < 0 {
 		turn = decline
 	}
-	most := math.Max(release*n.sent.rate(b.now), evenPart*b.rated(p)/float64(max(1, b.set.Gateways)))
+	even := b.rated(p) / float64(max(1, b.set.Gateways))
+	most := math.Max(release*n.sent.rate(b.now), mostEven*even)
 	n.pace = math.Max(leastPace, math.Min(most, n.pace*math.Exp(off*turn*dt/1000)))
+	if !math.IsInf(even, 1) {
+		n.pace = math.Max(n.pace, leastEven*even)
+	}
 	n.tokens = 1
 	if !math.IsInf(n.pace, 1) {
 		n.tokens = math.Min(1+n.pace*b.goal, had+dt*n.pace*(1+lean*off))
