Lost set-ups are told from waiting ones; a restart needs cut contacts

Each loss was read as a long wait, and two in a row as a restart, so pools with 200 of 240 agents free got 1 set-up a second. Change: a processor takes set-ups in turn, so one overtaken by a later one is lost: it is called off at once and says nothing of the wait; a lone silence counts as one sample. A pool counts as started anew only if contacts were cut as well. Harm: where set-ups do overtake each other in a processor, some are called off that would have stood.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,6 +38,7 @@
 	stuckShare = 0.35   // of the answer target: a set-up without sign of life is called off after this
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
 	agentLeast = 3.0    // but no fewer agents than this
+	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -69,7 +70,8 @@
 	queue   float64         // the largest queue seen
 	heard   float64         // when the latest report came
 	life    float64         // when it last gave a sign of life
-	silent  int             // set-ups called off since then
+	silent  int             // set-ups without an answer since then
+	cuts    int             // standing contacts cut and connections refused since then
 	noAgent bool            // told with no free agent
 	wait    float64         // the wait at its processor, as judged
 	judged  float64         // and when
@@ -513,7 +515,10 @@
 	case r.End == contact.Full && r.NoAgent:
 		n.noAgent, r.Pool.Report.Free = true, 0
 		return // the report with it is older than that
-	case r.End == contact.Full, r.End == contact.TimedOut, r.End == contact.Cancelled, r.End == contact.Refused:
+	case r.End == contact.Cancelled && r.Lost:
+	case r.End == contact.Cancelled:
+		n.judge(b.now, r.Cost)
+	case r.End == contact.Full, r.End == contact.TimedOut, r.End == contact.Refused:
 		n.wait, n.judged = math.Max(n.wait, math.Max(r.Cost, -worst*2*b.goal)), b.now
 	}
 	b.learn(r.Pool, r.Reported)
@@ -621,10 +626,12 @@
 	return kept
 }
 
-// ringUp notes that a set-up is no longer under way, and the pool's signs of life. A pool that was silent or
-// could not be reached has started anew when it answers, and is cold, whatever the list says of it.
+// ringUp notes that a set-up is no longer under way, and the pool's signs of life. A pool that left set-ups
+// unanswered, and cut contacts or refused to connect, has started anew when it answers: it is cold, whatever
+// the list says of it.
 func (b *Brain) ringUp(r *contact.Ring) {
 	n := note(r.Pool)
+	stood := r.Contact.Out == r
 	for i, o := range n.out {
 		if o == r {
 			n.out = append(n.out[:i], n.out[i+1:]...)
@@ -632,14 +639,24 @@
 		}
 	}
 	switch {
-	case r.Contact.Out != r && r.End == contact.Refused:
-		n.silent += 2
-	case r.Contact.Out != r && (r.End == contact.TimedOut || r.End == contact.Cancelled || r.End == contact.Unsent):
-	default:
-		if n.silent > 1 && b.now-n.fresh > b.set.WarmWithin {
+	case stood || r.End == contact.Done || r.End == contact.Full || r.End == contact.Failed:
+		if n.silent > 0 && n.cuts > 0 && b.now-n.fresh > b.set.WarmWithin {
 			n.restart(b.now)
 		}
-		n.life, n.silent = b.now, 0
+		n.life, n.silent, n.cuts = b.now, 0, 0
+	case r.End == contact.Refused:
+		n.silent++
+		n.cuts++
+	case r.End == contact.Reset:
+		n.cuts++
+	}
+	for stood && b.set.MayCancel && len(n.out) > 0 && n.out[0].Sent < r.Sent-overtaken*b.goal {
+		lost := n.out[0] // a processor takes set-ups in turn: this one is lost, and says nothing of the wait
+		lost.Lost = true
+		n.out = n.out[1:]
+		if b.inTime(lost.Contact) {
+			b.host.Cancel(lost)
+		}
 	}
 }
 
@@ -652,8 +669,13 @@
 // another: a silent processor, a lost path.
 func (b *Brain) rescue(r *contact.Ring) {
 	n := note(r.Pool)
-	if n.life < r.Sent && b.now+b.set.ClearWait+b.goal < r.Contact.Came+r.Contact.Skill.Target {
+	if n.life < r.Sent && b.inTime(r.Contact) {
 		n.silent++
 		b.host.Cancel(r)
 	}
 }
+
+// inTime tells whether a contact called off now could still stand in time elsewhere.
+func (b *Brain) inTime(c *contact.Contact) bool {
+	return b.now+b.set.ClearWait+b.goal < c.Came+c.Skill.Target
+}
--- a/contact/contact.go
+++ b/contact/contact.go
@@ -119,6 +119,7 @@
 	NoAgent  bool    // Full: no agent was free
 	Wait     float64 // Full: the processor asks to stay away so long, or 0
 	Reported bool    // the end brought a report, now in Pool.Report
+	Lost     bool    // the module has found that it is lost
 	ID       any     // the host's own
 }
 
