Impossible reports are not believed, judgements are bounded, one silence is no wait

Change: a reported wait beyond the longest patience is not believed, and none counts just after a set-up time seen here; every judgement is bounded; reported rates are bounded by what the agents can hold; one unanswered set-up says nothing of the wait.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,8 @@
 	growth     = 0.5    // a second: how fast a pace grows at no wait
 	decline    = 1.0    // a second: how fast it falls at twice the wait aimed at
 	lean       = 0.4    // how far the pace leans at once against the wait
+	mostWait   = 6.0    // of the wait aimed at: no judgement is longer
+	ownFirst   = 500.0  // a wait reported within this after a set-up time seen here does not count
 	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
 	leastPace  = 0.0002 // set-ups a millisecond that a pool always gets
 	release    = 3.0    // a pace is no more than so many times what is sent lately,
@@ -44,17 +46,18 @@
 
 // Brain is the decision module of one gateway.
 type Brain struct {
-	set   *contact.Settings
-	host  contact.Host
-	now   float64
-	draws uint64
-	goal  float64            // the wait aimed at in a pool
-	pools []*contact.Pool    // in the order in which they were first listed
-	line  []*contact.Contact // contacts that wait for room, the most valuable first
-	awake bool               // the line will be looked at
-	came  sum                // first tries that came lately
-	tried map[caller]float64 // callers who went unserved, and when they first came
-	swept float64            // when those who have given up were last forgotten
+	set           *contact.Settings
+	host          contact.Host
+	now           float64
+	draws         uint64
+	goal          float64            // the wait aimed at in a pool
+	longest, hold float64            // the longest patience, and the longest mean time that a contact stands
+	pools         []*contact.Pool    // in the order in which they were first listed
+	line          []*contact.Contact // contacts that wait for room, the most valuable first
+	awake         bool               // the line will be looked at
+	came          sum                // first tries that came lately
+	tried         map[caller]float64 // callers who went unserved, and when they first came
+	swept         float64            // when those who have given up were last forgotten
 }
 
 // caller is what a redial has in common with the try before it.
@@ -75,6 +78,7 @@
 	noAgent bool            // told with no free agent
 	wait    float64         // the wait at its processor, as judged
 	judged  float64         // and when
+	timed   float64         // when a set-up time was last seen
 	out     []*contact.Ring // set-ups under way, the oldest first
 	sent    sum             // set-ups sent lately
 	pace    float64         // set-ups a millisecond that it gets from here; +Inf: all
@@ -128,6 +132,7 @@
 	b := &Brain{set: s, host: h, goal: math.Inf(1), tried: map[caller]float64{}}
 	for _, k := range s.Skills {
 		b.goal = math.Min(b.goal, goalTarget*k.Target)
+		b.longest, b.hold = math.Max(b.longest, k.Patience), math.Max(b.hold, k.Hold)
 	}
 	if s.Retransmit > 0 {
 		b.goal = math.Min(b.goal, goalRepeat*s.Retransmit)
@@ -391,22 +396,18 @@
 	n := note(p)
 	dt := b.now - n.filled
 	n.filled = b.now
-	had := n.tokens
 	off := math.Max(worst, 1-math.Max(n.expect(p, b.now)/b.goal, agents(p)))
 	turn := growth
 	if off < 0 {
 		turn = decline
 	}
-	even := b.rated(p) / float64(max(1, b.set.Gateways))
-	most := math.Max(release*n.sent.rate(b.now), mostEven*even)
-	n.pace = math.Max(leastPace, math.Min(most, n.pace*math.Exp(off*turn*dt/1000)))
-	if !math.IsInf(even, 1) {
-		n.pace = math.Max(n.pace, leastEven*even)
-	}
-	n.tokens = 1
-	if !math.IsInf(n.pace, 1) {
-		n.tokens = math.Min(1+n.pace*b.goal, had+dt*n.pace*(1+lean*off))
+	even := b.size(p) / 1000 / float64(max(1, b.set.Gateways))
+	if !(p.Report.Agents > 0) && !(p.Report.Rate >= 0) {
+		even = 1 / b.goal // nothing is known of it
 	}
+	most := math.Max(release*n.sent.rate(b.now), mostEven*even)
+	n.pace = math.Max(math.Max(leastPace, leastEven*even), math.Min(most, n.pace*math.Exp(off*turn*dt/1000)))
+	n.tokens = math.Min(1+n.pace*b.goal, n.tokens+dt*n.pace*(1+lean*off))
 }
 
 // agents is the press on a pool's agents, 0 to 2: it is 1 with half of a small reserve free. The figure is late
@@ -450,32 +451,21 @@
 		return 0
 	}
 	f := math.Max(noughtShare, b.free(p)) // the wait tells better than a nought whether there is room
-	return size(p) * f * f
+	return b.size(p) * f * f
 }
 
-// rated is about how many set-ups a millisecond a pool can take from all gateways.
-func (b *Brain) rated(p *contact.Pool) float64 {
-	if !math.IsNaN(p.Report.Rate) {
-		return p.Report.Rate / 1000
-	}
-	hold := 0.0
-	for _, k := range b.set.Skills {
-		hold = math.Max(hold, k.Hold)
+// size is the total capacity in set-ups a second: the reported rate, and no more than its agents can hold; the
+// agents alone, which the document names as a measure too, where no rate is reported; else 1.
+func (b *Brain) size(p *contact.Pool) float64 {
+	held := math.Inf(1)
+	if p.Report.Agents > 0 && b.hold > 0 {
+		held = 1000 * p.Report.Agents / b.hold
 	}
-	if p.Report.Agents > 0 && hold > 0 {
-		return p.Report.Agents / hold
-	}
-	return math.Inf(1)
-}
-
-// size is the total capacity: the reported set-ups a second, else the agents, which the document names as a
-// measure too, else 1.
-func size(p *contact.Pool) float64 {
 	switch {
-	case !math.IsNaN(p.Report.Rate):
-		return p.Report.Rate
-	case p.Report.Agents > 0:
-		return p.Report.Agents
+	case p.Report.Rate >= 0:
+		return math.Min(p.Report.Rate, held)
+	case !math.IsInf(held, 1):
+		return held
 	}
 	return 1
 }
@@ -510,16 +500,17 @@
 	switch {
 	case r.Contact.Out == r:
 		n.base = math.Min(n.base, r.Cost)
-		n.judge(b.now, r.Cost-n.base)
+		n.timed = b.now
+		b.judge(n, r.Cost-n.base)
 		return
 	case r.End == contact.Full && r.NoAgent:
 		n.noAgent, r.Pool.Report.Free = true, 0
 		return // the report with it is older than that
-	case r.End == contact.Cancelled && r.Lost:
+	case r.End == contact.Cancelled && (r.Lost || n.silent < 2): // lost, not late: nothing of the wait is known
 	case r.End == contact.Cancelled:
-		n.judge(b.now, r.Cost)
+		b.judge(n, r.Cost)
 	case r.End == contact.Full, r.End == contact.TimedOut, r.End == contact.Refused:
-		n.wait, n.judged = math.Max(n.wait, math.Max(r.Cost, -worst*2*b.goal)), b.now
+		n.wait, n.judged = mostWait*b.goal, b.now
 	}
 	b.learn(r.Pool, r.Reported)
 }
@@ -532,8 +523,9 @@
 	}
 	if full {
 		n.heard = b.now
-		if !math.IsNaN(p.Report.Wait) {
-			n.judge(b.now, p.Report.Wait)
+		// a report may lie or stick: set-up times seen here go first, and what cannot be is not believed
+		if w := p.Report.Wait; w < b.longest && b.now-n.timed > ownFirst {
+			b.judge(n, w)
 		}
 		if !math.IsNaN(p.Report.Queue) {
 			n.queue = math.Max(n.queue, p.Report.Queue)
@@ -559,10 +551,10 @@
 	return n.base
 }
 
-// judge takes a sample of the wait.
-func (n *pool) judge(now, sample float64) {
-	w := n.wait * math.Exp((n.judged-now)/waitSpan)
-	n.wait, n.judged = (w+math.Max(0, sample))/2, now
+// judge takes a sample of the wait. It is bounded, so that any judgement is forgotten in bounded time.
+func (b *Brain) judge(n *pool, sample float64) {
+	w := n.wait * math.Exp((n.judged-b.now)/waitSpan)
+	n.wait, n.judged = (w+math.Min(mostWait*b.goal, math.Max(0, sample)))/2, b.now
 }
 
 // guard is the last word on every send: what the rules do not allow does not pass.
@@ -597,11 +589,11 @@
 	share, known := 1.0, 0.0
 	for _, q := range b.pools {
 		if q.State == contact.Ready {
-			known += size(q)
+			known += b.size(q)
 		}
 	}
 	if known > 0 {
-		share = size(p) / known
+		share = b.size(p) / known
 	}
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
 	rate := b.came.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
