--- a/brain/brain.go
+++ b/brain/brain.go
@@ -26,9 +26,9 @@
 	coldSafety = 0.4    // part of the cold budget that a gateway uses
 	goalRepeat = 0.6    // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
-	growth     = 0.5    // a second: how fast a pace grows at no wait
-	decline    = 1.0    // a second: how fast it falls at twice the wait aimed at
-	lean       = 0.4    // how far the pace leans at once against the wait
+	growth     = 1.0    // a second: how fast a pace grows at no wait
+	decline    = 0.7    // a second: how fast it falls at twice the wait aimed at
+	lean       = 0.5    // how far the pace leans at once against the wait
 	mostWait   = 6.0    // of the wait aimed at: no judgement is longer
 	ownFirst   = 500.0  // a wait reported within this after a set-up time seen here does not count
 	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
