--- a/brain/brain.go
+++ b/brain/brain.go
@@ -506,10 +506,11 @@
 	case r.End == contact.Full && r.NoAgent:
 		n.noAgent, r.Pool.Report.Free = true, 0
 		return // the report with it is older than that
-	case r.End == contact.Cancelled && (r.Lost || n.silent < 2): // lost, not late: nothing of the wait is known
-	case r.End == contact.Cancelled:
-		b.judge(n, r.Cost)
-	case r.End == contact.Full, r.End == contact.TimedOut, r.End == contact.Refused:
+	case r.End == contact.Cancelled, r.End == contact.TimedOut:
+		if !r.Lost && n.silent > 1 { // else lost, not late: nothing of the wait is known
+			b.judge(n, r.Cost)
+		}
+	case r.End == contact.Full, r.End == contact.Refused:
 		n.wait, n.judged = mostWait*b.goal, b.now
 	}
 	b.learn(r.Pool, r.Reported)
@@ -641,6 +642,8 @@
 		n.cuts++
 	case r.End == contact.Reset:
 		n.cuts++
+	case !r.Lost && r.End != contact.Unsent:
+		n.silent++
 	}
 	for stood && b.set.MayCancel && len(n.out) > 0 && n.out[0].Sent < r.Sent-overtaken*b.goal {
 		lost := n.out[0] // a processor takes set-ups in turn: this one is lost, and says nothing of the wait
@@ -660,9 +663,7 @@
 // rescue calls off a set-up to a pool that has given no sign of life since it was sent, early enough to try
 // another: a silent processor, a lost path.
 func (b *Brain) rescue(r *contact.Ring) {
-	n := note(r.Pool)
-	if n.life < r.Sent && b.inTime(r.Contact) {
-		n.silent++
+	if note(r.Pool).life < r.Sent && b.inTime(r.Contact) {
 		b.host.Cancel(r)
 	}
 }
