Where set-ups were found lost lately, a lone one under way is no wait

Cause: on lossy paths one lost set-up, not yet overtaken, held a pool's pace down while it was out. The second oldest tells a wait as well, a little later; taken always it cost 0.02 to 0.03 on two sites, so it is taken only where losses were seen.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,6 +41,7 @@
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
 	agentLeast = 3.0    // but no fewer agents than this
 	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
+	lossy      = 0.5    // lost set-ups lately: with more a lone set-up under way may be lost too
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -81,6 +82,7 @@
 	timed   float64         // when a set-up time was last seen
 	out     []*contact.Ring // set-ups under way, the oldest first
 	sent    sum             // set-ups sent lately
+	lost    sum             // set-ups found lost lately
 	pace    float64         // set-ups a millisecond that it gets from here; +Inf: all
 	tokens  float64         // set-ups that may go now
 	filled  float64         // when pace and tokens were brought up to date
@@ -535,11 +537,15 @@
 }
 
 // expect is the wait that a set-up sent now must reckon with: the faded judgement, but no less than the
-// oldest set-up under way has waited.
+// oldest set-up under way has waited; where some were lost lately, the second oldest.
 func (n *pool) expect(p *contact.Pool, now float64) float64 {
 	w := n.wait * math.Exp((n.judged-now)/waitSpan)
-	if len(n.out) > 0 {
-		w = math.Max(w, now-n.out[0].Sent-n.least())
+	skip := 0
+	if n.lost.read(now) > lossy {
+		skip = 1
+	}
+	if len(n.out) > skip {
+		w = math.Max(w, now-n.out[skip].Sent-n.least())
 	}
 	return w
 }
@@ -648,6 +654,7 @@
 	for stood && b.set.MayCancel && len(n.out) > 0 && n.out[0].Sent < r.Sent-overtaken*b.goal {
 		lost := n.out[0] // a processor takes set-ups in turn: this one is lost, and says nothing of the wait
 		lost.Lost = true
+		n.lost.add(b.now, 1)
 		n.out = n.out[1:]
 		if b.inTime(lost.Contact) {
 			b.host.Cancel(lost)
