--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,7 +24,7 @@
 	span       = 5000.0 // counts fade like this
 	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
 	coldSafety = 0.4    // part of the cold budget that a gateway uses
-	goalRepeat = 0.45    // the wait aimed at: this part of the time of the first repeat
+	goalRepeat = 0.35    // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
 	growth     = 1.0    // a second: how fast a pace grows at no wait
 	decline    = 0.7    // a second: how fast it falls at twice the wait aimed at
