--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,7 +24,7 @@
 	span       = 5000.0 // counts fade like this
 	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
 	coldSafety = 0.4    // part of the cold budget that a gateway uses
-	goalRepeat = 0.35    // the wait aimed at: this part of the time of the first repeat
+	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
 	growth     = 1.0    // a second: how fast a pace grows at no wait
 	decline    = 0.7    // a second: how fast it falls at twice the wait aimed at
@@ -42,6 +42,8 @@
 	agentLeast = 3.0    // but no fewer agents than this
 	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
 	lossy      = 0.5    // lost set-ups lately: with more a lone set-up under way may be lost too
+	little     = 0.5    // of the mean worth: a contact of less
+	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -57,6 +59,7 @@
 	line          []*contact.Contact // contacts that wait for room, the most valuable first
 	awake         bool               // the line will be looked at
 	came          sum                // first tries that came lately
+	value         sum                // and what they are worth
 	tried         map[caller]float64 // callers who went unserved, and when they first came
 	swept         float64            // when those who have given up were last forgotten
 }
@@ -189,6 +192,7 @@
 		delete(b.tried, id)
 	} else {
 		b.came.add(now, 1)
+		b.value.add(now, c.Skill.Value)
 	}
 	b.advance(c, 0)
 }
@@ -385,6 +389,9 @@
 	}
 	b.fill(p)
 	n := note(p)
+	if b.worth(c)*b.came.read(b.now) < little*b.value.read(b.now) && n.expect(p, b.now) > spareRoom*b.goal {
+		return false // what is worth little takes only what nobody else will miss
+	}
 	if n.silent > 1 && (len(n.out) > 0 || b.now-n.life < probeEvery) {
 		return false // a pool that is silent gets one set-up at a time to show that it is back
 	}
