--- a/contact/contact.go
+++ b/contact/contact.go
@@ -104,7 +104,7 @@
 	Out        *Ring     // the ring that is out, also while the contact stands
 	Stands     bool      // it stands
 	Over       bool      // it has its final answer
-	Last       End       // how the latest ring ended
+	MayRun     bool      // a set-up of it may have run, though it does not stand
 	NotTill    float64   // the clear wait: no ring before this
 	ID         any       // the host's own
 }
