Deferred callers who can still be in time are asked back soon

A caller's own pause before redialling is half a second to well over a second, so that many redials came too late for the target. Where settings allow, the answer 'deferred' now names 0.15 of the answer target. Harm: with few tries left a caller spends them sooner.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,6 +45,7 @@
 	lossy      = 0.5    // lost set-ups lately: with more a lone set-up under way may be lost too
 	little     = 0.5    // of the mean worth: a contact of less
 	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
+	comeBack   = 0.15    // of the answer target: a deferred caller who can still be in time is asked back then
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -289,7 +290,11 @@
 // shed is the final answer "deferred".
 func (b *Brain) shed(c *contact.Contact) verdict {
 	b.unserved(c)
-	b.host.Defer(c, 0)
+	wait := 0.0
+	if w := comeBack * c.Skill.Target; b.set.MayWait && b.now+w+b.goal < c.First+c.Skill.Target {
+		wait = math.Min(w, b.set.MaxWait) // soon enough to be in time: its own pause would be longer
+	}
+	b.host.Defer(c, wait)
 	return ended
 }
 
