--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,7 @@
 	lossy      = 0.5    // lost set-ups lately: with more a lone set-up under way may be lost too
 	little     = 0.5    // of the mean worth: a contact of less
 	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
-	comeBack   = 0.15    // of the answer target: a deferred caller who can still be in time is asked back then
+	comeBack   = 0.15   // of the answer target: a deferred caller who can still be in time is asked back then
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -63,6 +63,7 @@
 	awake         bool               // the line will be looked at
 	came          sum                // first tries that came lately
 	value         sum                // and what they are worth
+	places        []*contact.Pool    // the latest pool of each number
 	tried         map[caller]float64 // callers who went unserved, and when they first came
 	swept         float64            // when those who have given up were last forgotten
 }
@@ -179,6 +180,11 @@
 		if p.State != contact.Gone && !slices.Contains(b.pools, p) {
 			b.pools = append(b.pools, p)
 		}
+		if i := slices.IndexFunc(b.places, func(q *contact.Pool) bool { return q.Number == p.Number }); i < 0 {
+			b.places = append(b.places, p)
+		} else if p.State != contact.Gone {
+			b.places[i] = p
+		}
 		if n := note(p); p.Since > n.fresh && p.Since > 0 {
 			n.restart(p.Since)
 		}
@@ -625,15 +631,11 @@
 		n.budget, n.counted = 1, b.now
 		return math.Inf(1)
 	}
-	share, known := 1.0, 0.0
-	for _, q := range b.pools {
-		if q.State == contact.Ready {
-			known += b.size(q)
-		}
-	}
-	if known > 0 {
-		share = b.size(p) / known
+	whole := 0.0 // the load is made for all places, not for the few pools that are left
+	for _, q := range b.places {
+		whole += b.size(q)
 	}
+	share := b.size(p) / math.Max(whole, b.size(p))
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
 	rate := b.came.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
 	n.pace = math.Max(leastPace, math.Min(n.pace, rate)) // and no rush when it is warm
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -7,70 +7,18 @@
 	"cobaltpier/contact"
 )
 
-// bench is a host that writes down what it is asked.
-type bench struct {
-	now                  float64
-	b                    *Brain
-	rings                []*contact.Ring
-	deferred, abandoned  []*contact.Contact
-	told, probed, wakeup int
-}
-
-func (h *bench) Ring(c *contact.Contact, p *contact.Pool, _ float64) {
-	c.Out = &contact.Ring{Contact: c, Pool: p, Sent: h.now}
-	h.rings = append(h.rings, c.Out)
-}
-func (h *bench) Defer(c *contact.Contact, _ float64) {
-	c.Over = true
-	h.deferred = append(h.deferred, c)
-}
-func (h *bench) Abandon(c *contact.Contact)     { c.Over = true; h.abandoned = append(h.abandoned, c) }
-func (h *bench) Cancel(*contact.Ring)           {}
-func (h *bench) Probe(*contact.Pool)            { h.probed++ }
-func (h *bench) Tell([]byte)                    { h.told++ }
-func (h *bench) Wake(float64, *contact.Contact) { h.wakeup++ }
-
-func newPool(i int) *contact.Pool {
-	n := math.NaN()
-	return &contact.Pool{Number: i, State: contact.Ready, Report: contact.Report{Agents: n, Free: n, Util: n,
-		Queue: n, Inflight: n, Wait: n, Rate: n, Holdback: n}}
-}
-
-func setup(pools int) (*bench, []*contact.Pool) {
-	h := &bench{now: 1e6}
-	h.b = New(&contact.Settings{Gateways: 1, Seed: 7, Tick: 5, MaxRings: 5, ClearWait: 500, ColdShare: 0.3,
-		WarmWithin: 14000, TipMultiple: 2.5, TipTime: 1000}, h)
-	var ps []*contact.Pool
-	for i := 0; i < pools; i++ {
-		ps = append(ps, newPool(i))
-	}
-	h.b.Listed(h.now, ps)
-	return h, ps
-}
-
-func offer(h *bench, home *contact.Pool) *contact.Contact {
-	c := &contact.Contact{Skill: &contact.Skill{Target: 2000, Patience: 9000, Value: 1, Repeat: true}, Home: home, Came: h.now,
-		Until: h.now + 3000}
-	h.b.Offered(h.now, c)
-	return c
-}
-
 // The lottery draws pools by total capacity times the square of the free share, within 2 points in 100.
 func TestLotteryShares(t *testing.T) {
 	h, ps := setup(3)
 	want := []float64{20 * 0.5 * 0.5, 10 * 0.8 * 0.8, 30 * 0.2 * 0.2}
 	for i, r := range []contact.Report{{Rate: 20, Util: 0.5}, {Rate: 10, Util: 0.2}, {Rate: 30, Util: 0.8}} {
 		ps[i].Report.Rate, ps[i].Report.Util = r.Rate, r.Util
-		ps[i].Report.Agents = r.Rate
 		h.b.Reported(h.now, ps[i], true, true)
 	}
 	got := map[*contact.Pool]float64{}
 	for i := 0; i < 20000; i++ {
-		h.now += 1000
-		offer(h, nil)
-		got[h.rings[i].Pool]++
-		h.rings[i].Cost = 20
-		h.b.Stood(h.now, h.rings[i])
+		h.pass(1000)
+		got[h.stand(h.offer(nil), 20).Pool]++
 	}
 	all := want[0] + want[1] + want[2]
 	for i, p := range ps {
@@ -79,3 +27,184 @@
 		}
 	}
 }
+
+// The destination is taken while it has room; a nought report counts as a tenth free after 2 s.
+func TestDestinationFirstAndNoughtAgeing(t *testing.T) {
+	h, ps := setup(2)
+	for i := 0; i < 50; i++ {
+		h.pass(1000)
+		if r := h.stand(h.offer(ps[1]), 20); r.Pool != ps[1] {
+			t.Fatal("the destination had room and was passed over")
+		}
+	}
+	ps[0].Report.Util = 1
+	h.b.Reported(h.now, ps[0], true, true)
+	if f := h.b.free(ps[0]); f != 0 {
+		t.Errorf("nought report: free share %v, want 0", f)
+	}
+	h.b.now += 2001
+	if f := h.b.free(ps[0]); f != noughtShare {
+		t.Errorf("nought report of 2 s ago: free share %v, want %v", f, noughtShare)
+	}
+	ps[1].State = contact.Draining
+	h.pass(1000)
+	if c := h.offer(ps[1]); c.Out == nil || c.Out.Pool != ps[0] {
+		t.Error("a draining destination must be left for another pool")
+	}
+}
+
+// With no pool at all a contact gets its answer within its patience, and at once when it can't be served.
+func TestNoPools(t *testing.T) {
+	h, _ := setup(0)
+	if c := h.offer(nil); !c.Over || len(h.deferred) != 1 {
+		t.Error("no pool: want the contact deferred at once")
+	}
+}
+
+// A pool whose set-ups wait gets fewer of them and gets them back: no flush, no standstill.
+func TestPaceFollowsWait(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+	count := func(cost float64) int {
+		before := len(h.rings)
+		for i := 0; i < 400; i++ {
+			h.pass(10)
+			h.offer(ps[0])
+			for _, r := range h.rings {
+				if c := r.Contact; c.Out == r && !c.Stands {
+					h.stand(c, cost)
+				}
+			}
+		}
+		return len(h.rings) - before
+	}
+	calm, pressed, after := count(20), count(3000), count(20)
+	if pressed*3 > calm || after*2 < calm || pressed == 0 {
+		t.Errorf("set-ups sent: calm %d, pressed %d, after %d", calm, pressed, after)
+	}
+}
+
+// When not all can be served the contacts of most value are, whatever came first.
+func TestLineByWorth(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 20, 10
+	small, big := *h.skill, *h.skill
+	big.Value = 8
+	var got, all [2]int
+	for i := 0; i < 2000; i++ {
+		h.pass(10)
+		h.skill = &small
+		if i%10 == 0 {
+			h.skill = &big
+		}
+		h.offer(ps[0])
+	}
+	for _, c := range h.all {
+		k := 0
+		if c.Skill == &big {
+			k = 1
+		}
+		all[k]++
+		if c.Rings > 0 {
+			got[k]++
+		}
+	}
+	if a, b := float64(got[0])/float64(all[0]), float64(got[1])/float64(all[1]); b < 2*a || b == 0 {
+		t.Errorf("served: %.2f of the small, %.2f of the big value", a, b)
+	}
+}
+
+// A redial is told by the number called: past its first try's target it is worth less.
+func TestRedialIsKnown(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].State = contact.Draining
+	first := h.offer(ps[0])
+	h.pass(2500)
+	again := h.offer(ps[0])
+	if !first.Over || again.First != first.Came {
+		t.Fatalf("redial counted from %v, want %v", again.First, first.Came)
+	}
+	if w := h.b.worth(again); w != h.skill.Value*h.skill.LateValue {
+		t.Errorf("late redial worth %v", w)
+	}
+}
+
+// A set-up overtaken by a later one is lost: it is called off and says nothing of the wait.
+func TestLostSetUp(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+	h.stand(h.offer(ps[0]), 20)
+	lost := h.offer(ps[0])
+	h.pass(300)
+	h.stand(h.offer(ps[0]), 20)
+	if len(h.cancelled) != 1 || h.cancelled[0].Contact != lost {
+		t.Fatalf("%d set-ups called off, want the lost one", len(h.cancelled))
+	}
+	if w := note(ps[0]).expect(h.now); w > h.b.goal {
+		t.Errorf("a lost set-up counts as a wait of %v", w)
+	}
+}
+
+// A silent pool gets one set-up at a time; contacts cut and an answer after silence mean that it is cold.
+func TestSilenceAndRestart(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+	standing := h.offer(ps[0])
+	h.stand(standing, 20)
+	for i := 0; i < 2; i++ {
+		h.pass(100)
+		h.end(h.offer(ps[0]), contact.TimedOut)
+	}
+	h.end(standing, contact.Reset)
+	h.pass(100)
+	if c := h.offer(ps[0]); c.Out != nil {
+		t.Error("a silent pool was sent a set-up within a second of the last")
+	}
+	h.pass(1500)
+	h.offer(ps[0])
+	c := h.rings[len(h.rings)-1].Contact
+	if c.Out == nil || len(note(ps[0]).out) != 1 {
+		t.Fatalf("%d set-ups under way to a silent pool, want one", len(note(ps[0]).out))
+	}
+	h.stand(c, 20)
+	if n := note(ps[0]); n.fresh != h.now {
+		t.Error("a pool that cut contacts and fell silent has started cold when it answers")
+	}
+}
+
+// What cannot be is not believed: a report of a wait of weeks leaves a pool in use.
+func TestImpossibleReport(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free, ps[0].Report.Wait = 1000, 500, 3e9
+	h.b.Reported(h.now, ps[0], true, true)
+	if w := note(ps[0]).expect(h.now); w != 0 {
+		t.Errorf("wait judged %v", w)
+	}
+}
+
+// Skills that must not run twice are not rung again once a set-up may have run.
+func TestOnlyOnce(t *testing.T) {
+	h, ps := setup(2)
+	h.skill.Repeat = false
+	c := h.offer(ps[0])
+	h.end(c, contact.TimedOut)
+	if len(h.abandoned) != 1 || c.Rings != 1 {
+		t.Errorf("abandoned %d, rings %d", len(h.abandoned), c.Rings)
+	}
+	c = h.offer(ps[0])
+	h.end(c, contact.Refused)
+	if c.Rings+len(h.b.line) < 2 {
+		t.Error("a set-up that never ran may go elsewhere")
+	}
+}
+
+// Where reports come only by probe, each pool is probed every second.
+func TestProbes(t *testing.T) {
+	h, ps := setup(2)
+	h.b.set.ByProbe, h.b.set.MayProbe = true, true
+	h.b.Listed(h.now, ps)
+	h.pass(10100)
+	if h.probed < 20 || h.probed > 22 {
+		t.Errorf("%d probes of two pools in 10 s", h.probed)
+	}
+}
