A pace comes back fast to half of what it was before the press

Kept: recovery is what on-call staff see. Harm: a pool that is slow for good is tried once more fast.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -28,6 +28,7 @@
 	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
 	growth     = 1.0    // a second: how fast a pace grows at no wait
+	regrowth   = 3.0    // a second: the same, up to half of the pace before the latest press
 	decline    = 0.7    // a second: how fast it falls at twice the wait aimed at
 	lean       = 0.5    // how far the pace leans at once against the wait
 	mostWait   = 6.0    // of the wait aimed at: no judgement is longer
@@ -91,6 +92,8 @@
 	sent    sum             // set-ups sent lately
 	lost    sum             // set-ups found lost lately
 	pace    float64         // set-ups a millisecond that it gets from here; +Inf: all
+	knee    float64         // the pace when the latest press began
+	pressed bool            // its wait is longer than aimed at
 	tokens  float64         // set-ups that may go now
 	filled  float64         // when pace and tokens were brought up to date
 	fresh   float64         // rule 4: when it started cold, as far as known; -Inf: long ago
@@ -438,9 +441,15 @@
 	n.filled = b.now
 	off := math.Max(worst, 1-math.Max(n.expect(b.now)/b.goal, agents(p)))
 	turn := growth
-	if off < 0 {
-		turn = decline
+	switch {
+	case off < 0:
+		if turn = decline; !n.pressed {
+			n.knee = n.pace
+		}
+	case n.pace < n.knee/2:
+		turn = regrowth // back soon to half of what went well before the press
 	}
+	n.pressed = off < 0
 	even := b.size(p) / 1000 / float64(max(1, b.set.Gateways))
 	if !(p.Report.Agents > 0) && !(p.Report.Rate >= 0) {
 		even = 1 / b.goal // nothing is known of it
