--- a/benchwire/host.go
+++ b/benchwire/host.go
@@ -435,6 +435,7 @@
 	k.open--
 	r.Pool.Report, r.Cost, r.End, r.Reported = into, cost, end, full
 	r.NoAgent, r.Wait = end == contact.Full && note%16 == 1, float64(note/16)
+	r.Engaged = end == contact.Failed && note%16 == 4
 	if k.Out == r {
 		k.Out = nil
 	}
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,6 +47,7 @@
 	little     = 0.5    // of the mean worth: a contact of less
 	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
 	comeBack   = 0.15   // of the answer target: a deferred caller who can still be in time is asked back then
+	engagedFor = 2000.0 // a number with no line free is left alone so long
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -66,6 +67,7 @@
 	value         sum                // and what they are worth
 	places        []*contact.Pool    // the latest pool of each number
 	tried         map[caller]float64 // callers who went unserved, and when they first came
+	engaged       map[string]*number // numbers that were found engaged
 	swept         float64            // when those who have given up were last forgotten
 }
 
@@ -76,6 +78,12 @@
 	customer *contact.Customer
 }
 
+// number is one called that was found engaged: till when it is left alone, and set-ups that stood since.
+type number struct {
+	till  float64
+	stood int
+}
+
 // pool is what the module notes of a pool.
 type pool struct {
 	base    float64         // the least set-up time seen
@@ -141,7 +149,8 @@
 
 // New makes the module of one gateway.
 func New(s *contact.Settings, h contact.Host) *Brain {
-	b := &Brain{set: s, host: h, goal: math.Inf(1), tried: map[caller]float64{}}
+	b := &Brain{set: s, host: h, goal: math.Inf(1), tried: map[caller]float64{},
+		engaged: map[string]*number{}}
 	for _, k := range s.Skills {
 		b.goal = math.Min(b.goal, goalTarget*k.Target)
 		b.longest, b.hold = math.Max(b.longest, k.Patience), math.Max(b.hold, k.Hold)
@@ -292,6 +301,11 @@
 				delete(b.tried, id)
 			}
 		}
+		for id, e := range b.engaged {
+			if b.now > e.till+c.Skill.Patience {
+				delete(b.engaged, id)
+			}
+		}
 	}
 	b.tried[caller{c.Number, c.Skill, c.Customer}] = c.First
 }
@@ -331,15 +345,29 @@
 		b.host.Wake(c.NotTill, c)
 		return kept
 	}
+	if e := b.engaged[c.Number]; e != nil { // a number whose lines are all busy is work for nothing, at any pool
+		if b.now < e.till {
+			return b.shed(c)
+		}
+		e.till = b.now + engagedFor // one may try
+	}
 	return pass
 }
 
 // doorUp answers a contact whose ring did not stand, or lets it ring again.
 func (b *Brain) doorUp(r *contact.Ring) {
 	c := r.Contact
+	if e := b.engaged[c.Number]; e != nil && c.Out == r {
+		if e.stood++; e.stood > 1 {
+			delete(b.engaged, c.Number)
+		}
+	}
 	if c.Out == r || c.Over { // it stands, or needs nothing more
 		return
 	}
+	if r.Engaged && c.Number != "" {
+		b.engaged[c.Number] = &number{till: b.now + engagedFor}
+	}
 	c.MayRun = c.MayRun || r.End != contact.Full && r.End != contact.Refused && r.End != contact.Unsent
 	if r.End == contact.TimedOut || r.End == contact.Reset || r.End == contact.Cancelled {
 		c.NotTill = b.now + b.set.ClearWait // rule 5
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -208,3 +208,24 @@
 		t.Errorf("%d probes of two pools in 10 s", h.probed)
 	}
 }
+
+// A number whose lines are all busy is left alone, but for one try at a time.
+func TestEngagedNumber(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+	h.number = "hot"
+	c := h.offer(ps[0])
+	c.Out.Engaged = true
+	h.end(c, contact.Failed)
+	if again := h.offer(ps[0]); !c.Over || !again.Over || again.Rings > 0 {
+		t.Error("an engaged number was rung again at once")
+	}
+	h.pass(engagedFor + 100)
+	if one, two := h.offer(ps[0]), h.offer(ps[0]); one.Rings != 1 || two.Rings != 0 {
+		t.Errorf("%d and %d rings, want one try", one.Rings, two.Rings)
+	}
+	h.number = "other"
+	if c := h.offer(ps[0]); c.Rings != 1 {
+		t.Error("another number must not suffer")
+	}
+}
--- a/contact/contact.go
+++ b/contact/contact.go
@@ -117,6 +117,7 @@
 	Cost     float64 // time from sending until it stood or ended
 	End      End
 	NoAgent  bool    // Full: no agent was free
+	Engaged  bool    // Failed: all lines of the number called are busy
 	Wait     float64 // Full: the processor asks to stay away so long, or 0
 	Reported bool    // the end brought a report, now in Pool.Report
 	Lost     bool    // the module has found that it is lost
