Called off after half the target, 0.45 of it in line, half of the cold budget

Set-ups were called off while the pool still worked: wasted and done twice; a contact deferred that could have waited redials as load.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,7 +24,7 @@
 
 	span       = 5000.0 // counts fade like this
 	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
-	coldSafety = 0.4    // part of the cold budget that a gateway uses
+	coldSafety = 0.5    // part of the cold budget that a gateway uses
 	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
 	growth     = 1.0    // a second: how fast a pace grows at no wait
@@ -38,8 +38,8 @@
 	release    = 3.0    // a pace is no more than so many times what is sent lately,
 	mostEven   = 2.0    // or than so many even parts of what the pool is rated for,
 	leastEven  = 0.1    // and no less than this one
-	patienceIn = 0.35   // of the answer target: so long a contact may wait in line here
-	stuckShare = 0.35   // of the answer target: a set-up without sign of life is called off after this
+	patienceIn = 0.45   // of the answer target: so long a contact may wait in line here
+	stuckShare = 0.5    // of the answer target: a set-up without sign of life is called off after this
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
 	agentLeast = 3.0    // but no fewer agents than this
 	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
