--- a/brain/brain.go
+++ b/brain/brain.go
@@ -48,6 +48,8 @@
 	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
 	comeBack   = 0.15   // of the answer target: a deferred caller who can still be in time is asked back then
 	engagedFor = 2000.0 // a number with no line free is left alone so long
+	fullPause  = 400.0  // a pool that turns a set-up away is left alone so long
+	fullCut    = 0.7    // and its pace cut to this part
 	lookAgain  = 20.0   // how often the line is looked at
 )
 
@@ -104,6 +106,7 @@
 	pressed bool            // its wait is longer than aimed at
 	tokens  float64         // set-ups that may go now
 	filled  float64         // when pace and tokens were brought up to date
+	shut    float64         // it turned a set-up away and is left alone till then
 	fresh   float64         // rule 4: when it started cold, as far as known; -Inf: long ago
 	budget  float64         // rule 4: set-ups that may go now
 	counted float64         // rule 4: when the budget was brought up to date
@@ -457,7 +460,7 @@
 	if n.silent > 1 && (len(n.out) > 0 || b.now-n.life < probeEvery) {
 		return false // a pool that is silent gets one set-up at a time to show that it is back
 	}
-	return n.tokens >= 1
+	return n.tokens >= 1 && b.now >= n.shut
 }
 
 // fill brings a pool's pace and tokens up to date. While set-ups there wait longer than aimed at, the pace
@@ -587,7 +590,12 @@
 		if !r.Lost && n.silent > 1 { // else lost, not late: nothing of the wait is known
 			b.judge(n, r.Cost)
 		}
-	case r.End == contact.Full, r.End == contact.Refused:
+	case r.End == contact.Full:
+		if b.now >= n.shut {
+			n.pace *= fullCut
+		}
+		n.shut = b.now + math.Max(fullPause, math.Min(r.Wait, waitSpan))
+	case r.End == contact.Refused:
 		n.wait, n.judged = mostWait*b.goal, b.now
 	}
 	b.learn(r.Pool, r.Reported)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -229,3 +229,19 @@
 		t.Error("another number must not suffer")
 	}
 }
+
+// A pool that turns a set-up away is left alone for a moment, not for the time that a long wait fades.
+func TestTurnedAway(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+	h.stand(h.offer(ps[0]), 20)
+	h.pass(1000)
+	h.end(h.offer(ps[0]), contact.Full)
+	sent := len(h.rings)
+	if h.offer(ps[0]); len(h.rings) > sent {
+		t.Error("rung again at once")
+	}
+	if h.pass(fullPause + 300); len(h.rings) == sent {
+		t.Error("still left alone after the pause")
+	}
+}
