--- a/benchwire/benchwire_test.go
+++ b/benchwire/benchwire_test.go
@@ -82,7 +82,7 @@
 		"memo_to	gateway-3	all	6869\nready\n"; out != want {
 		t.Errorf("wrote\n%s\nwant\n%s", out, want)
 	}
-	if s := e.set; s.Me != 2 || s.Gateways != 4 || s.Seed != 1<<64-1 || s.OverShare != 1 || s.Skills[0].Value != 1 {
+	if s := e.set; s.Gateways != 4 || s.Seed != 1<<64-1 || s.Skills[0].Value != 1 {
 		t.Errorf("settings %+v", s)
 	}
 }
--- a/benchwire/codec.go
+++ b/benchwire/codec.go
@@ -109,7 +109,6 @@
 var setters = map[string]func(*contact.Report, float64){
 	"free":      func(r *contact.Report, v float64) { r.Free = v },
 	"size":      func(r *contact.Report, v float64) { r.Agents = v },
-	"rif":       func(r *contact.Report, v float64) { r.Inflight = v },
 	"q":         func(r *contact.Report, v float64) { r.Queue = v },
 	"busy":      func(r *contact.Report, v float64) { r.Util = v },
 	"lat_ms":    func(r *contact.Report, v float64) { r.Wait = v },
@@ -120,7 +119,7 @@
 // blank is the report that says nothing.
 func blank() contact.Report {
 	n := math.NaN()
-	return contact.Report{Agents: n, Free: n, Util: n, Queue: n, Inflight: n, Wait: n, Rate: n, Holdback: n}
+	return contact.Report{Agents: n, Free: n, Util: n, Queue: n, Wait: n, Rate: n, Holdback: n}
 }
 
 // report reads a load report over an older one; it tells whether a processor's figures came. Values that
@@ -160,12 +159,9 @@
 		MaxAttempts                                     int
 		MaxRetryAfter                                   float64
 	}
-	Balancers, Me  int
-	Discovery      string
-	OverShareWorth *float64
-	Tick           float64
-	Zone           string
-	FamilyInfo     struct {
+	Balancers  int
+	Tick       float64
+	FamilyInfo struct {
 		CallLength            []float64
 		ClearWait, Retransmit float64
 		SkilledPools          [][]int
@@ -175,12 +171,9 @@
 		Aim, HardLimit, LateWorth, Window float64
 		Worth                             *float64
 	}
-	Realms []struct {
-		Name             string
-		QuotaPerS, Share float64
-	}
-	Rules struct {
-		AnswerSlack, ColdShare, Fall, StopSendingWithin, TipMultiple, WarmWithin float64
+	Realms []struct{ Name string }
+	Rules  struct {
+		AnswerSlack, ColdShare, Fall, TipMultiple, WarmWithin float64
 	}
 	Stats struct {
 		Fields []string
@@ -195,16 +188,13 @@
 		return nil, nil, fmt.Errorf("params: %w", err)
 	}
 	s := &contact.Settings{
-		Me: w.Me, Gateways: w.Balancers, Seed: seed, Region: w.Zone, Tick: w.Tick,
+		Gateways: w.Balancers, Seed: seed, Tick: w.Tick,
 		MaxRings: w.Allowed.MaxAttempts, MayProbe: w.Allowed.Probes, MayTell: w.Allowed.Peers,
 		MayCancel: w.Allowed.Cancel, MayWait: w.Allowed.RetryAfter, MaxWait: w.Allowed.MaxRetryAfter,
-		ByProbe: w.Stats.How == "on_probe", AskPools: w.Discovery == "ask", Retransmit: w.FamilyInfo.Retransmit,
-		Slack: w.Rules.AnswerSlack, Grace: w.Rules.StopSendingWithin, ColdShare: w.Rules.ColdShare,
+		ByProbe: w.Stats.How == "on_probe", Retransmit: w.FamilyInfo.Retransmit,
+		Slack: w.Rules.AnswerSlack, ColdShare: w.Rules.ColdShare,
 		WarmWithin: w.Rules.WarmWithin, TipMultiple: w.Rules.TipMultiple, TipTime: w.Rules.Fall,
-		ClearWait: w.FamilyInfo.ClearWait, OverShare: 1,
-	}
-	if w.OverShareWorth != nil {
-		s.OverShare = *w.OverShareWorth
+		ClearWait: w.FamilyInfo.ClearWait,
 	}
 	for i, c := range w.Lanes {
 		k := &contact.Skill{Name: c.Name, Target: c.Aim, Patience: c.HardLimit, LateValue: c.LateWorth, Value: 1,
@@ -224,7 +214,7 @@
 		s.Skills = append(s.Skills, k)
 	}
 	for _, c := range w.Realms {
-		s.Customers = append(s.Customers, &contact.Customer{Name: c.Name, Share: c.Share, Quota: c.QuotaPerS})
+		s.Customers = append(s.Customers, &contact.Customer{Name: c.Name})
 	}
 	return s, w.Stats.Fields, nil
 }
--- a/benchwire/host.go
+++ b/benchwire/host.go
@@ -332,10 +332,12 @@
 			p = &contact.Pool{Report: blank()}
 			in.pools[id], in.ids[p] = p, id
 		}
-		p.Region, p.Kind = v.text("locality"), v.text("kind")
+		v.text("locality")
+		v.text("kind")
 		p.Number = int(v.whole("nodeNo", -1, 1<<32))
 		p.State = contact.State(v.whole("lifecycle", 0, 2))
-		p.Hint, p.Since = v.num("capacityHint", 1), v.num("onlineSince", 0)
+		v.num("capacityHint", 1)
+		p.Since = v.num("onlineSince", 0)
 		if err := v.done(); err != nil {
 			return err
 		}
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -78,7 +78,7 @@
 func newPool(i int) *contact.Pool {
 	n := math.NaN()
 	return &contact.Pool{Number: i, State: contact.Ready, Report: contact.Report{Agents: n, Free: n, Util: n,
-		Queue: n, Inflight: n, Wait: n, Rate: n, Holdback: n}}
+		Queue: n, Wait: n, Rate: n, Holdback: n}}
 }
 
 func setup(pools int) (*bench, []*contact.Pool) {
--- a/contact/contact.go
+++ b/contact/contact.go
@@ -51,7 +51,6 @@
 	Free     float64 // free agents
 	Util     float64 // busy share of the processor
 	Queue    float64 // set-ups that wait there
-	Inflight float64 // set-ups in process
 	Wait     float64 // the wait at the processor
 	Rate     float64 // set-ups a second it can take from all senders
 	Holdback float64 // share of set-ups it asks each sender to hold back
@@ -60,11 +59,8 @@
 // Pool is a group of agents behind one processor.
 type Pool struct {
 	Number int     // its number among the pools; contacts name destinations by it
-	Region string  // where it is
-	Kind   string  // its kind of machine
 	State  State   // as the list has it
 	Since  float64 // its latest start; 0: long ago
-	Hint   float64 // size, as the list has it
 	Report Report  // the latest report
 	Notes  any     // the decision module's own notes
 }
@@ -83,9 +79,7 @@
 
 // Customer is whose contact it is.
 type Customer struct {
-	Name  string
-	Share float64 // of the service
-	Quota float64 // contacts a second, over all gateways, that count in full
+	Name string
 }
 
 // Contact is one try of a caller.
@@ -126,13 +120,11 @@
 
 // Settings are the deployment's figures, as handed over at start.
 type Settings struct {
-	Me, Gateways int
-	Seed         uint64
-	Region       string
-	Skills       []*Skill
-	Customers    []*Customer
-	OverShare    float64 // worth of a contact beyond its customer's quota
-	Tick         float64 // least time between two batches
+	Gateways  int
+	Seed      uint64
+	Skills    []*Skill
+	Customers []*Customer
+	Tick      float64 // least time between two batches
 
 	MaxRings   int
 	MayProbe   bool
@@ -141,11 +133,9 @@
 	MayWait    bool    // deferred callers are told when to come back
 	MaxWait    float64 // they heed no more than this
 	ByProbe    bool    // reports come only with probes
-	AskPools   bool    // the pool list must be asked for
 	Retransmit float64 // a set-up that waits is sent again after this; 0: never
 
 	Slack       float64 // rule 1: grace for the final answer
-	Grace       float64 // rule 3: sends to a draining pool stop within this
 	ColdShare   float64 // rule 4: a pool starts with this share of its capacity
 	WarmWithin  float64 // and is warm after this
 	TipMultiple float64 // it falls over when sent more than this multiple
