--- a/brain/brain.go
+++ b/brain/brain.go
@@ -187,7 +187,9 @@
 func (b *Brain) Listed(now float64, changed []*contact.Pool) {
 	b.now = now
 	for _, p := range changed {
-		b.pools = slices.DeleteFunc(b.pools, func(q *contact.Pool) bool { return q == p && p.State == contact.Gone })
+		if i := slices.Index(b.pools, p); i >= 0 && p.State == contact.Gone {
+			b.pools = slices.Delete(b.pools, i, i+1)
+		}
 		if p.Notes == nil {
 			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), tokens: 1, filled: now,
 				counted: now}
@@ -294,8 +296,8 @@
 	return float64((v^v>>33)>>11) / (1 << 53)
 }
 
-// unserved remembers a caller who may dial again: a redial still has to stand within the target of the first
-// try, so one that comes later is worth less than a first try.
+// unserved remembers a caller who may dial again: a redial still has to stand within the target of the
+// first try, so one that comes later is worth less than a first try.
 func (b *Brain) unserved(c *contact.Contact) {
 	if b.now-b.swept > c.Skill.Patience {
 		b.swept = b.now
@@ -348,7 +350,7 @@
 		b.host.Wake(c.NotTill, c)
 		return kept
 	}
-	if e := b.engaged[c.Number]; e != nil { // a number whose lines are all busy is work for nothing, at any pool
+	if e := b.engaged[c.Number]; e != nil { // all its lines are busy: work for nothing, at any pool
 		if b.now < e.till {
 			return b.shed(c)
 		}
@@ -401,8 +403,8 @@
 	return kept
 }
 
-// serve lets contacts in line go on while there is room, and defers those that must not wait longer or are too
-// far back to be served in time.
+// serve lets contacts in line go on while there is room, and defers those that must not wait longer or are
+// too far back to be served in time.
 func (b *Brain) serve() {
 	pace := 0.0
 	for _, p := range b.pools {
@@ -464,8 +466,9 @@
 }
 
 // fill brings a pool's pace and tokens up to date. While set-ups there wait longer than aimed at, the pace
-// falls, else it grows: gateways that each do so share the pool's processor without knowing of each other, and
-// do not all stop and start together.
+// falls, else it grows: gateways that each do so share the pool's processor without knowing of each other,
+// and do not all stop and start together. It guards against every cause of long waits: overload, slow
+// processors, other work on them, traffic piled on one pool.
 func (b *Brain) fill(p *contact.Pool) {
 	n := note(p)
 	dt := b.now - n.filled
@@ -486,12 +489,13 @@
 		even = 1 / b.goal // nothing is known of it
 	}
 	most := math.Max(release*n.sent.rate(b.now), mostEven*even)
-	n.pace = math.Max(math.Max(leastPace, leastEven*even), math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt/1000)))
+	n.pace = math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt/1000))
+	n.pace = math.Max(n.pace, math.Max(leastPace, leastEven*even))
 	n.tokens = math.Min(1+n.pace*b.goal, n.tokens+dt*n.pace*(1+lean*off))
 }
 
-// agents is the press on a pool's agents, 0 to 2: it is 1 with half of a small reserve free. The figure is late
-// and every gateway has the same, so the last agents are shared by pace, not raced for.
+// agents is the press on a pool's agents, 0 to 2: it is 1 with half of a small reserve free. The figure is
+// late and every gateway has the same, so the last agents are shared by pace, not raced for.
 func agents(p *contact.Pool) float64 {
 	if !(p.Report.Agents > 0) || math.IsNaN(p.Report.Free) {
 		return 0
@@ -534,8 +538,8 @@
 	return b.size(p) * f * f
 }
 
-// size is the total capacity in set-ups a second: the reported rate, and no more than its agents can hold; the
-// agents alone, which the document names as a measure too, where no rate is reported; else 1.
+// size is the total capacity in set-ups a second: the reported rate, and no more than its agents can hold;
+// the agents alone, which the document names as a measure too, where no rate is reported; else 1.
 func (b *Brain) size(p *contact.Pool) float64 {
 	held := math.Inf(1)
 	if p.Report.Agents > 0 && b.hold > 0 {
@@ -666,9 +670,9 @@
 }
 
 // cold is rule 4's budget: the set-ups that this gateway may send a cold pool now; +Inf where it is warm. All
-// gateways together keep the rule if each sends no more than the stated multiple of its part of a warm pool's load,
-// scaled down to what the pool can do at its present age. First tries stand for what it sends: they do not fall
-// to nothing with the pools.
+// gateways together keep the rule if each sends no more than the stated multiple of its part of a warm pool's
+// load, scaled down to what the pool can do at its present age. First tries stand for that load: they do not
+// fall to nothing with the pools.
 func (b *Brain) cold(p *contact.Pool) float64 {
 	n := note(p)
 	age := b.now - n.fresh
