--- a/brain/brain.go
+++ b/brain/brain.go
@@ -27,6 +27,7 @@
 	coldSafety = 0.5    // part of the cold budget that a gateway uses
 	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
+	goalElse   = 150.0  // the same where neither is known
 	growth     = 1.0    // a second: how fast a pace grows at no wait
 	regrowth   = 3.0    // a second: the same, up to half of the pace before the latest press
 	decline    = 0.7    // a second: how fast it falls at twice the wait aimed at
@@ -161,6 +162,12 @@
 	if s.Retransmit > 0 {
 		b.goal = math.Min(b.goal, goalRepeat*s.Retransmit)
 	}
+	if !(b.goal > 0) || math.IsInf(b.goal, 1) {
+		b.goal = goalElse
+	}
+	if s.MaxRings <= 0 {
+		s.MaxRings = math.MaxInt
+	}
 	return b
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -245,3 +245,26 @@
 		t.Error("still left alone after the pause")
 	}
 }
+
+// Settings that are missing give sensible decisions: contacts are rung while the pool answers.
+func TestOddSettings(t *testing.T) {
+	for _, set := range []contact.Settings{{}, {Skills: []*contact.Skill{{}}}, {ByProbe: true, MayWait: true}} {
+		h, ps := setup(1)
+		h.b = New(&set, h)
+		ps[0].Notes = nil
+		h.b.Listed(h.now, ps)
+		for i := 0; i < 20; i++ {
+			h.now += 1000
+			c := h.offer(ps[0])
+			if c.Out == nil {
+				t.Fatalf("contact %d under %+v: not rung", i, set)
+			}
+			h.stand(c, 20)
+		}
+		ps[0].State = contact.Gone
+		h.b.Listed(h.now, ps)
+		if c := h.offer(ps[0]); !c.Over {
+			t.Errorf("no pool left under %+v: want an answer at once", set)
+		}
+	}
+}
