--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,6 @@
 	mostEven   = 2.0    // or than so many even parts of what the pool is rated for,
 	leastEven  = 0.1    // and no less than this one
 	patienceIn = 0.45   // of the answer target: so long a contact may wait in line here
-	stuckShare = 0.5    // of the answer target: a set-up without sign of life is called off after this
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
 	agentLeast = 3.0    // but no fewer agents than this
 	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
@@ -266,10 +265,7 @@
 		b.awake = false
 		b.serve()
 		b.probe()
-	case c.Over || c.Stands:
-	case c.Out != nil:
-		b.rescue(c.Out)
-	case !c.InLine:
+	case !c.Over && c.Out == nil && !c.InLine:
 		b.advance(c, 0)
 	}
 }
@@ -707,9 +703,6 @@
 	n.tokens--
 	n.sent.add(b.now, 1)
 	c.Rings++
-	if b.set.MayCancel {
-		b.host.Wake(b.now+math.Max(stuckShare*c.Skill.Target, 2*n.expect(b.now)), c)
-	}
 	b.host.Ring(c, *to, c.Until-b.now)
 	n.out = append(n.out, c.Out)
 	return kept
@@ -757,14 +750,6 @@
 	n.fresh, n.wait, n.pace, n.silent = at, 0, math.Inf(1), 0
 }
 
-// rescue calls off a set-up to a pool that has given no sign of life since it was sent, early enough to try
-// another: a silent processor, a lost path.
-func (b *Brain) rescue(r *contact.Ring) {
-	if b.now-r.Sent >= stuckShare*r.Contact.Skill.Target && note(r.Pool).life < r.Sent && b.inTime(r.Contact) {
-		b.host.Cancel(r)
-	}
-}
-
 // inTime tells whether a contact called off now could still stand in time elsewhere.
 func (b *Brain) inTime(c *contact.Contact) bool {
 	return b.now+b.set.ClearWait+b.goal < c.Came+c.Skill.Target
