A cold token is good for a moment only, at moments drawn by chance

Now each gateway's tokens fall due at its own moments and are good for a quarter of the time that tips a pool; all together hold a moment's budget whatever their number.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,6 +25,7 @@
 	span       = 5000.0 // counts fade like this
 	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
 	coldSafety = 0.5    // part of the cold budget that a gateway uses
+	coldOpen   = 0.25   // of the time that tips a cold pool: so long a token for it is good
 	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
 	goalElse   = 150.0  // the same where neither is known
@@ -198,7 +199,7 @@
 		}
 		if p.Notes == nil {
 			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), tokens: 1, filled: now,
-				counted: now}
+				counted: now, budget: b.chance()}
 		}
 		if p.State != contact.Gone && !slices.Contains(b.pools, p) {
 			b.pools = append(b.pools, p)
@@ -669,19 +670,20 @@
 		c.Until > b.now && c.Rings < b.set.MaxRings && (c.Skill.Repeat || !c.MayRun) &&
 		c.NotTill <= b.now && // rule 5
 		(c.Skill.Pools == nil || c.Skill.Pools[p.Number]) &&
-		b.cold(p) >= 1 // rule 4
+		b.cold(p) // rule 4
 }
 
-// cold is rule 4's budget: the set-ups that this gateway may send a cold pool now; +Inf where it is warm. All
-// gateways together keep the rule if each sends no more than the stated multiple of its part of a warm pool's
-// load, scaled down to what the pool can do at its present age. First tries stand for that load: they do not
-// fall to nothing with the pools.
-func (b *Brain) cold(p *contact.Pool) float64 {
+// cold is rule 4: it tells whether this gateway may send a pool a set-up now. All gateways together keep the rule
+// if each sends no more than the stated multiple of its part of a warm pool's load, scaled down to what the pool
+// can do at its present age. First tries stand for that load: they do not fall to nothing with the pools. A
+// token is good for a moment only, and gateways get theirs at moments drawn by chance: so all of them together
+// hold no more than a moment's budget, however many they are and however long nothing was sent.
+func (b *Brain) cold(p *contact.Pool) bool {
 	n := note(p)
 	age := b.now - n.fresh
 	if age >= b.set.WarmWithin || b.set.TipMultiple <= 0 {
-		n.budget, n.counted = 1, b.now
-		return math.Inf(1)
+		n.counted = b.now
+		return true
 	}
 	whole := 0.0 // the load is made for all places, not for the few pools that are left
 	for _, q := range b.places {
@@ -691,11 +693,21 @@
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
 	rate := b.came.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
 	n.pace = math.Max(leastPace, math.Min(n.pace, rate)) // and no rush when it is warm
-	n.budget = math.Min(1+rate*b.set.TipTime/2, n.budget+rate*(b.now-n.counted))
+	n.budget += rate * (b.now - n.counted)
 	n.counted = b.now
-	return n.budget
+	open := rate * b.set.TipTime * coldOpen
+	if open >= 1 {
+		n.budget = math.Min(n.budget, 1+open)
+		return n.budget >= 1
+	}
+	if n.budget >= 2 {
+		n.budget = 1 + frac(n.budget)
+	}
+	return n.budget >= 1 && n.budget < 1+open
 }
 
+func frac(v float64) float64 { return v - math.Floor(v) }
+
 // ring sends the set-up.
 func (b *Brain) ring(c *contact.Contact, to **contact.Pool) verdict {
 	n := note(*to)
@@ -747,7 +759,7 @@
 
 // restart begins a pool's notes anew: its processor has started cold.
 func (n *pool) restart(at float64) {
-	n.fresh, n.wait, n.pace, n.silent = at, 0, math.Inf(1), 0
+	n.fresh, n.wait, n.pace, n.silent, n.budget = at, 0, math.Inf(1), 0, frac(n.budget)
 }
 
 // inTime tells whether a contact called off now could still stand in time elsewhere.
