Tokens at chance phases, floors shared by all gateways, paces turn by how often a pool is heard

Cause: at 58 gateways and more each gateway held a whole token for each small pool, floors were per gateway, and a judgement faded before the next sample came, so small pools stayed jammed from the first second.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,11 +36,12 @@
 	mostWait   = 6.0    // of the wait aimed at: no judgement is longer
 	ownFirst   = 500.0  // a wait reported within this after a set-up time seen here does not count
 	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
-	leastPace  = 0.0002 // set-ups a millisecond that a pool always gets
+	leastPace  = 0.001  // set-ups a millisecond that a pool always gets, from all gateways together
 	release    = 3.0    // a pace is no more than so many times what is sent lately,
 	mostEven   = 2.0    // or than so many even parts of what the pool is rated for,
 	leastEven  = 0.1    // and no less than this one
 	patienceIn = 0.45   // of the answer target: so long a contact may wait in line here
+	openFor    = 500.0  // so long a token is good for contacts of another destination
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
 	agentLeast = 3.0    // but no fewer agents than this
 	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
@@ -98,6 +99,7 @@
 	noAgent bool            // told with no free agent
 	wait    float64         // the wait at its processor, as judged
 	judged  float64         // and when
+	every   float64         // how long it is between two judgements, but at least a second
 	timed   float64         // when a set-up time was last seen
 	out     []*contact.Ring // set-ups under way, the oldest first
 	sent    sum             // set-ups sent lately
@@ -198,8 +200,8 @@
 			b.pools = slices.Delete(b.pools, i, i+1)
 		}
 		if p.Notes == nil {
-			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), tokens: 1, filled: now,
-				counted: now, budget: b.chance()}
+			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), tokens: 1 - b.chance()*(1-b.part(1)), filled: now,
+				counted: now, budget: b.chance(), every: 1000}
 		}
 		if p.State != contact.Gone && !slices.Contains(b.pools, p) {
 			b.pools = append(b.pools, p)
@@ -466,7 +468,10 @@
 	if n.silent > 1 && (len(n.out) > 0 || b.now-n.life < probeEvery) {
 		return false // a pool that is silent gets one set-up at a time to show that it is back
 	}
-	return n.tokens >= 1 && b.now >= n.shut
+	if n.tokens < 1 || b.now < n.shut {
+		return false
+	}
+	return p == c.Home || n.tokens < 1+math.Max(n.pace*openFor, 0) || n.pace*openFor >= 1
 }
 
 // fill brings a pool's pace and tokens up to date. While set-ups there wait longer than aimed at, the pace
@@ -488,16 +493,24 @@
 		turn = regrowth // back soon to half of what went well before the press
 	}
 	n.pressed = off < 0
-	even := b.size(p) / 1000 / float64(max(1, b.set.Gateways))
+	even := b.part(b.size(p) / 1000)
 	if !(p.Report.Agents > 0) && !(p.Report.Rate >= 0) {
 		even = 1 / b.goal // nothing is known of it
 	}
 	most := math.Max(release*n.sent.rate(b.now), mostEven*even)
-	n.pace = math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt/1000))
-	n.pace = math.Max(n.pace, math.Max(leastPace, leastEven*even))
-	n.tokens = math.Min(1+n.pace*b.goal, n.tokens+dt*n.pace*(1+lean*off))
+	n.pace = math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt/n.every))
+	n.pace = math.Max(n.pace, math.Max(b.part(leastPace), leastEven*even))
+	n.tokens += dt * n.pace * (1 + lean*off)
+	if n.tokens > 2 && n.pace*b.goal < 1 {
+		n.tokens = 1 + frac(n.tokens)
+	} else {
+		n.tokens = math.Min(1+math.Max(1, n.pace*b.goal), n.tokens)
+	}
 }
 
+// part is this gateway's even part of what all gateways may do.
+func (b *Brain) part(v float64) float64 { return v / float64(max(1, b.set.Gateways)) }
+
 // agents is the press on a pool's agents, 0 to 2: it is 1 with half of a small reserve free. The figure is
 // late and every gateway has the same, so the last agents are shared by pace, not raced for.
 func agents(p *contact.Pool) float64 {
@@ -630,7 +643,7 @@
 // expect is the wait that a set-up sent now must reckon with: the faded judgement, but no less than the
 // oldest set-up under way has waited; where some were lost lately, the second oldest.
 func (n *pool) expect(now float64) float64 {
-	w := n.wait * math.Exp((n.judged-now)/waitSpan)
+	w := n.faded(now)
 	skip := 0
 	if n.lost.read(now) > lossy {
 		skip = 1
@@ -641,6 +654,11 @@
 	return w
 }
 
+// faded is the judged wait as far as it still counts: it fades the slower the less often something is heard.
+func (n *pool) faded(now float64) float64 {
+	return n.wait * math.Exp((n.judged-now)/(waitSpan*n.every/1000))
+}
+
 // least is the set-up time without a wait, as far as seen.
 func (n *pool) least() float64 {
 	if math.IsInf(n.base, 1) {
@@ -651,7 +669,10 @@
 
 // judge takes a sample of the wait. It is bounded, so that any judgement is forgotten in bounded time.
 func (b *Brain) judge(n *pool, sample float64) {
-	w := n.wait * math.Exp((n.judged-b.now)/waitSpan)
+	w := n.faded(b.now)
+	if n.judged > 0 {
+		n.every = math.Max(1000, (n.every+math.Min(10000, b.now-n.judged))/2)
+	}
 	n.wait, n.judged = (w+math.Min(mostWait*b.goal, math.Max(0, sample)))/2, b.now
 }
 
@@ -692,7 +713,7 @@
 	share := b.size(p) / math.Max(whole, b.size(p))
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
 	rate := b.came.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
-	n.pace = math.Max(leastPace, math.Min(n.pace, rate)) // and no rush when it is warm
+	n.pace = math.Max(b.part(leastPace), math.Min(n.pace, rate)) // and no rush when it is warm
 	n.budget += rate * (b.now - n.counted)
 	n.counted = b.now
 	open := rate * b.set.TipTime * coldOpen
