Pools that turn set-ups away in a row are left alone twice as long each time

Kept: holds against any processor whose line is full, whatever fills it; could hurt where one stands still for moments only (a set-up that stands ends it).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -50,7 +50,8 @@
 	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
 	comeBack   = 0.15   // of the answer target: a deferred caller who can still be in time is asked back then
 	engagedFor = 2000.0 // a number with no line free is left alone so long
-	fullPause  = 400.0  // a pool that turns a set-up away is left alone so long
+	fullPause  = 400.0  // a pool that turns a set-up away is left alone so long, twice as long the next time
+	fullMost   = 8000.0 // but no longer
 	fullCut    = 0.7    // and its pace cut to this part
 	lookAgain  = 20.0   // how often the line is looked at
 )
@@ -110,6 +111,7 @@
 	tokens  float64         // set-ups that may go now
 	filled  float64         // when pace and tokens were brought up to date
 	shut    float64         // it turned a set-up away and is left alone till then
+	turned  int             // set-ups turned away in a row
 	fresh   float64         // rule 4: when it started cold, as far as known; -Inf: long ago
 	budget  float64         // rule 4: set-ups that may go now
 	counted float64         // rule 4: when the budget was brought up to date
@@ -480,7 +482,7 @@
 // processors, other work on them, traffic piled on one pool.
 func (b *Brain) fill(p *contact.Pool) {
 	n := note(p)
-	dt := b.now - n.filled
+	dt := math.Max(0, b.now-math.Max(n.filled, n.shut)) // what turns set-ups away earns nothing meanwhile
 	n.filled = b.now
 	off := math.Max(worst, 1-math.Max(n.expect(b.now)/b.goal, agents(p)))
 	turn := growth
@@ -601,7 +603,7 @@
 	switch {
 	case r.Contact.Out == r:
 		n.base = math.Min(n.base, r.Cost)
-		n.timed = b.now
+		n.timed, n.turned = b.now, 0
 		b.judge(n, r.Cost-n.base)
 		return
 	case r.End == contact.Full && r.NoAgent:
@@ -615,7 +617,9 @@
 		if b.now >= n.shut {
 			n.pace *= fullCut
 		}
-		n.shut = b.now + math.Max(fullPause, math.Min(r.Wait, waitSpan))
+		pause := math.Min(fullMost, fullPause*math.Exp2(float64(n.turned))) * (0.5 + b.chance())
+		n.turned++
+		n.shut = b.now + math.Max(pause, math.Min(r.Wait, waitSpan))
 	case r.End == contact.Refused:
 		n.wait, n.judged = mostWait*b.goal, b.now
 	}
