--- a/brain/brain.go
+++ b/brain/brain.go
@@ -485,14 +485,14 @@
 	dt := math.Max(0, b.now-math.Max(n.filled, n.shut)) // what turns set-ups away earns nothing meanwhile
 	n.filled = b.now
 	off := math.Max(worst, 1-math.Max(n.expect(b.now)/b.goal, agents(p)))
-	turn := growth
+	turn := growth / n.every
 	switch {
 	case off < 0:
-		if turn = decline; !n.pressed {
+		if turn = decline / 1000; !n.pressed {
 			n.knee = n.pace
 		}
 	case n.pace < n.knee/2:
-		turn = regrowth // back soon to half of what went well before the press
+		turn = regrowth / n.every // back soon to half of what went well before the press
 	}
 	n.pressed = off < 0
 	even := b.part(b.size(p) / 1000)
@@ -500,7 +500,7 @@
 		even = 1 / b.goal // nothing is known of it
 	}
 	most := math.Max(release*n.sent.rate(b.now), mostEven*even)
-	n.pace = math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt/n.every))
+	n.pace = math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt))
 	n.pace = math.Max(n.pace, math.Max(b.part(leastPace), leastEven*even))
 	n.tokens += dt * n.pace * (1 + lean*off)
 	if n.tokens > 2 && n.pace*b.goal < 1 {
