--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,7 +38,7 @@
 	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
 	leastPace  = 0.001  // set-ups a millisecond that a pool always gets, from all gateways together
 	release    = 3.0    // a pace is no more than so many times what is sent lately,
-	mostEven   = 2.0    // or than so many even parts of what the pool is rated for,
+	mostEven   = 1.2    // or than so many even parts of what the pool is rated for,
 	leastEven  = 0.1    // and no less than this one
 	patienceIn = 0.45   // of the answer target: so long a contact may wait in line here
 	openFor    = 500.0  // so long a token is good for contacts of another destination
