A few sends no longer release a pace: less their square root

Cause: at G gateways one send in 5 s stood for 0.6/s, several even parts of a small pool, so caps bound nobody.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -499,7 +499,8 @@
 	if !(p.Report.Agents > 0) && !(p.Report.Rate >= 0) {
 		even = 1 / b.goal // nothing is known of it
 	}
-	most := math.Max(release*n.sent.rate(b.now), mostEven*even)
+	few := n.sent.read(b.now)
+	most := math.Max(release*(few-math.Sqrt(few))/span, mostEven*even) // a few sends may be chance
 	n.pace = math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt))
 	n.pace = math.Max(n.pace, math.Max(b.part(leastPace), leastEven*even))
 	n.tokens += dt * n.pace * (1 + lean*off)
