Agents less three deviations, any sign counts as hearing, even parts by own traffic where more

Cause: small pools were overrated by up to a half (a group of n agents carries n less some root n), and pauses and growth counted only waits as signs.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,6 +42,7 @@
 	leastEven  = 0.1    // and no less than this one
 	patienceIn = 0.45   // of the answer target: so long a contact may wait in line here
 	openFor    = 500.0  // so long a token is good for contacts of another destination
+	swing      = 3.0    // standard deviations of a load that a group of agents has to spare
 	agentShare = 0.03   // of the agents: with fewer free the pace falls
 	agentLeast = 3.0    // but no fewer agents than this
 	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
@@ -50,6 +51,7 @@
 	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
 	comeBack   = 0.15   // of the answer target: a deferred caller who can still be in time is asked back then
 	engagedFor = 2000.0 // a number with no line free is left alone so long
+	longEvery  = 10000.0
 	fullPause  = 400.0  // a pool that turns a set-up away is left alone so long, twice as long the next time
 	fullMost   = 8000.0 // but no longer
 	fullCut    = 0.7    // and its pace cut to this part
@@ -100,7 +102,8 @@
 	noAgent bool            // told with no free agent
 	wait    float64         // the wait at its processor, as judged
 	judged  float64         // and when
-	every   float64         // how long it is between two judgements, but at least a second
+	told    float64         // when anything was last heard of it
+	every   float64         // how long it is between two times, but at least a second
 	timed   float64         // when a set-up time was last seen
 	out     []*contact.Ring // set-ups under way, the oldest first
 	sent    sum             // set-ups sent lately
@@ -495,7 +498,7 @@
 		turn = regrowth / n.every // back soon to half of what went well before the press
 	}
 	n.pressed = off < 0
-	even := b.part(b.size(p) / 1000)
+	even := math.Max(b.part(b.size(p)/1000), b.came.rate(b.now)*b.share(p))
 	if !(p.Report.Agents > 0) && !(p.Report.Rate >= 0) {
 		even = 1 / b.goal // nothing is known of it
 	}
@@ -563,7 +566,7 @@
 func (b *Brain) size(p *contact.Pool) float64 {
 	held := math.Inf(1)
 	if p.Report.Agents > 0 && b.hold > 0 {
-		held = 1000 * p.Report.Agents / b.hold
+		held = 1000 * math.Max(1, p.Report.Agents-swing*math.Sqrt(p.Report.Agents)) / b.hold
 	}
 	switch {
 	case p.Report.Rate >= 0:
@@ -603,6 +606,7 @@
 	n := note(r.Pool)
 	switch {
 	case r.Contact.Out == r:
+		b.hear(n)
 		n.base = math.Min(n.base, r.Cost)
 		n.timed, n.turned = b.now, 0
 		b.judge(n, r.Cost-n.base)
@@ -618,7 +622,7 @@
 		if b.now >= n.shut {
 			n.pace *= fullCut
 		}
-		pause := math.Min(fullMost, fullPause*math.Exp2(float64(n.turned))) * (0.5 + b.chance())
+		pause := math.Min(fullMost, fullPause*n.every/1000*math.Exp2(float64(n.turned))) * (0.5 + b.chance())
 		n.turned++
 		n.shut = b.now + math.Max(pause, math.Min(r.Wait, waitSpan))
 	case r.End == contact.Refused:
@@ -627,6 +631,14 @@
 	b.learn(r.Pool, r.Reported)
 }
 
+// hear notes that something was heard of a pool's processor.
+func (b *Brain) hear(n *pool) {
+	if n.told > 0 {
+		n.every = math.Max(1000, (n.every+math.Min(longEvery, b.now-n.told))/2)
+	}
+	n.told = b.now
+}
+
 // learn takes a pool's latest report.
 func (b *Brain) learn(p *contact.Pool, full bool) {
 	n := note(p)
@@ -634,6 +646,7 @@
 		n.noAgent = p.Report.Free <= 0
 	}
 	if full {
+		b.hear(n)
 		n.heard = b.now
 		// a report may lie or stick: set-up times seen here go first, and what cannot be is not believed
 		if w := p.Report.Wait; w < b.longest && b.now-n.timed > ownFirst {
@@ -675,9 +688,6 @@
 // judge takes a sample of the wait. It is bounded, so that any judgement is forgotten in bounded time.
 func (b *Brain) judge(n *pool, sample float64) {
 	w := n.faded(b.now)
-	if n.judged > 0 {
-		n.every = math.Max(1000, (n.every+math.Min(10000, b.now-n.judged))/2)
-	}
 	n.wait, n.judged = (w+math.Min(mostWait*b.goal, math.Max(0, sample)))/2, b.now
 }
 
@@ -711,13 +721,8 @@
 		n.counted = b.now
 		return true
 	}
-	whole := 0.0 // the load is made for all places, not for the few pools that are left
-	for _, q := range b.places {
-		whole += b.size(q)
-	}
-	share := b.size(p) / math.Max(whole, b.size(p))
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
-	rate := b.came.rate(b.now) * share * coldSafety * b.set.TipMultiple * part
+	rate := b.came.rate(b.now) * b.share(p) * coldSafety * b.set.TipMultiple * part
 	n.pace = math.Max(b.part(leastPace), math.Min(n.pace, rate)) // and no rush when it is warm
 	n.budget += rate * (b.now - n.counted)
 	n.counted = b.now
@@ -732,6 +737,16 @@
 	return n.budget >= 1 && n.budget < 1+open
 }
 
+// share is a pool's part of the total capacity: the load is made for all places, not for the few pools that
+// are left.
+func (b *Brain) share(p *contact.Pool) float64 {
+	whole := 0.0
+	for _, q := range b.places {
+		whole += b.size(q)
+	}
+	return b.size(p) / math.Max(whole, b.size(p))
+}
+
 func frac(v float64) float64 { return v - math.Floor(v) }
 
 // ring sends the set-up.
