--- a/brain/brain.go
+++ b/brain/brain.go
@@ -557,7 +557,7 @@
 	if !b.room(c, p) {
 		return 0
 	}
-	f := math.Max(noughtShare, b.free(p)) // the wait tells better than a nought whether there is room
+	f := b.free(p)
 	return b.size(p) * f * f
 }
 
