--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -48,6 +48,10 @@
 	}
 	ps[1].State = contact.Draining
 	h.pass(1000)
+	if c := h.offer(ps[1]); !c.Over {
+		t.Error("the only pool reports nought: no tickets anywhere")
+	}
+	h.pass(1100)
 	if c := h.offer(ps[1]); c.Out == nil || c.Out.Pool != ps[0] {
 		t.Error("a draining destination must be left for another pool")
 	}
