A cold token is good for 0.6 of the tipping time, and 0.7 of the budget is used

Cause: cold pools stood at a fifth of their processor for ten seconds; a token open for 250 ms met no contact.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,8 +24,8 @@
 
 	span       = 5000.0 // counts fade like this
 	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
-	coldSafety = 0.5    // part of the cold budget that a gateway uses
-	coldOpen   = 0.25   // of the time that tips a cold pool: so long a token for it is good
+	coldSafety = 0.7    // part of the cold budget that a gateway uses
+	coldOpen   = 0.6    // of the time that tips a cold pool: so long a token for it is good
 	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
 	goalElse   = 150.0  // the same where neither is known
