A restart earns no budget for the time before it; more of the budget once set-ups stand there

Also 0.7 of the budget filled a slow pool to waits of 2 s; now 0.4, and 0.8 only while set-ups there stand at once.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -24,7 +24,8 @@
 
 	span       = 5000.0 // counts fade like this
 	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
-	coldSafety = 0.7    // part of the cold budget that a gateway uses
+	coldSafety = 0.4    // part of the cold budget that a gateway uses
+	coldProven = 0.8    // the same once set-ups there stand without a wait
 	coldOpen   = 0.6    // of the time that tips a cold pool: so long a token for it is good
 	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
 	goalTarget = 0.15   // and no more than this part of the shortest answer target
@@ -217,7 +218,7 @@
 			b.places[i] = p
 		}
 		if n := note(p); p.Since > n.fresh && p.Since > 0 {
-			n.restart(p.Since)
+			n.restart(now, p.Since)
 		}
 	}
 	b.probe()
@@ -722,7 +723,11 @@
 		return true
 	}
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
-	rate := b.came.rate(b.now) * b.share(p) * coldSafety * b.set.TipMultiple * part
+	safety := coldSafety
+	if n.timed > n.fresh && n.expect(b.now) < spareRoom*b.goal {
+		safety = coldProven // set-ups stand there at once
+	}
+	rate := b.came.rate(b.now) * b.share(p) * safety * b.set.TipMultiple * part
 	n.pace = math.Max(b.part(leastPace), math.Min(n.pace, rate)) // and no rush when it is warm
 	n.budget += rate * (b.now - n.counted)
 	n.counted = b.now
@@ -776,7 +781,7 @@
 	switch {
 	case stood || r.End == contact.Done || r.End == contact.Full || r.End == contact.Failed:
 		if n.silent > 0 && n.cuts > 0 && b.now-n.fresh > b.set.WarmWithin {
-			n.restart(b.now)
+			n.restart(b.now, b.now)
 		}
 		n.life, n.silent, n.cuts = b.now, 0, 0
 	case r.End == contact.Refused:
@@ -798,9 +803,9 @@
 	}
 }
 
-// restart begins a pool's notes anew: its processor has started cold.
-func (n *pool) restart(at float64) {
-	n.fresh, n.wait, n.pace, n.silent, n.budget = at, 0, math.Inf(1), 0, frac(n.budget)
+// restart begins a pool's notes anew: its processor has started cold. The time before earns no cold budget.
+func (n *pool) restart(now, at float64) {
+	n.fresh, n.wait, n.pace, n.silent, n.budget, n.counted = at, 0, math.Inf(1), 0, frac(n.budget), now
 }
 
 // inTime tells whether a contact called off now could still stand in time elsewhere.
