A gateway that stood still: its backlog came earlier, what waited unread tells little of pools

Now, where nothing was heard for over half a second, ages are less by that time, ambiguous set-up times are not judged, and a contact with less time left than others came earlier. Should also hold against slow gateways; could hurt where a gateway is nearly idle and its pool jams.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,6 +52,7 @@
 	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
 	comeBack   = 0.15   // of the answer target: a deferred caller who can still be in time is asked back then
 	engagedFor = 2000.0 // a number with no line free is left alone so long
+	longIdle   = 500.0
 	longEvery  = 10000.0
 	fullPause  = 400.0  // a pool that turns a set-up away is left alone so long, twice as long the next time
 	fullMost   = 8000.0 // but no longer
@@ -63,20 +64,21 @@
 type Brain struct {
 	set           *contact.Settings
 	host          contact.Host
-	now           float64
+	now, idle     float64
 	draws         uint64
-	goal          float64            // the wait aimed at in a pool
-	longest, hold float64            // the longest patience, and the longest mean time that a contact stands
-	pools         []*contact.Pool    // in the order in which they were first listed
-	line          []*contact.Contact // contacts that wait for room, the most valuable first
-	probed        float64            // when pools were last probed
-	awake         bool               // the line will be looked at
-	came          sum                // first tries that came lately
-	value         sum                // and what they are worth
-	places        []*contact.Pool    // the latest pool of each number
-	tried         map[caller]float64 // callers who went unserved, and when they first came
-	engaged       map[string]*number // numbers that were found engaged
-	swept         float64            // when those who have given up were last forgotten
+	goal          float64                    // the wait aimed at in a pool
+	longest, hold float64                    // the longest patience, and the longest mean time that a contact stands
+	pools         []*contact.Pool            // in the order in which they were first listed
+	line          []*contact.Contact         // contacts that wait for room, the most valuable first
+	probed        float64                    // when pools were last probed
+	awake         bool                       // the line will be looked at
+	came          sum                        // first tries that came lately
+	value         sum                        // and what they are worth
+	places        []*contact.Pool            // the latest pool of each number
+	tried         map[caller]float64         // callers who went unserved, and when they first came
+	most          map[*contact.Skill]float64 // the most time that was left of a contact when it came
+	engaged       map[string]*number         // numbers that were found engaged
+	swept         float64                    // when those who have given up were last forgotten
 }
 
 // caller is what a redial has in common with the try before it.
@@ -162,7 +164,7 @@
 // New makes the module of one gateway.
 func New(s *contact.Settings, h contact.Host) *Brain {
 	b := &Brain{set: s, host: h, goal: math.Inf(1), tried: map[caller]float64{},
-		engaged: map[string]*number{}}
+		engaged: map[string]*number{}, most: map[*contact.Skill]float64{}}
 	for _, k := range s.Skills {
 		b.goal = math.Min(b.goal, goalTarget*k.Target)
 		b.longest, b.hold = math.Max(b.longest, k.Patience), math.Max(b.hold, k.Hold)
@@ -200,7 +202,7 @@
 
 // Listed hears that pools are new on the list or have changed there.
 func (b *Brain) Listed(now float64, changed []*contact.Pool) {
-	b.now = now
+	b.at(now)
 	for _, p := range changed {
 		if i := slices.Index(b.pools, p); i >= 0 && p.State == contact.Gone {
 			b.pools = slices.Delete(b.pools, i, i+1)
@@ -226,8 +228,11 @@
 
 // Offered takes a new contact.
 func (b *Brain) Offered(now float64, c *contact.Contact) {
-	b.now = now
-	c.First = now
+	b.at(now)
+	left := c.Until - now
+	b.most[c.Skill] = math.Max(b.most[c.Skill], left)
+	c.Came -= math.Min(b.idle, b.most[c.Skill]-left) // it waited while this gateway stood still
+	c.First = c.Came
 	id := caller{c.Number, c.Skill, c.Customer}
 	if first, again := b.tried[id]; again && now < first+c.Skill.Patience {
 		c.First = first
@@ -241,34 +246,34 @@
 
 // Stood hears that a ring's contact stands.
 func (b *Brain) Stood(now float64, r *contact.Ring) {
-	b.now = now
+	b.at(now)
 	b.back(r)
 }
 
 // Ended hears how a ring ended; closed: its contact needs no answer any more.
 func (b *Brain) Ended(now float64, r *contact.Ring, closed bool) {
-	b.now = now
+	b.at(now)
 	b.back(r)
 }
 
 // Left hears that a caller is gone.
 func (b *Brain) Left(now float64, c *contact.Contact) {
-	b.now = now
+	b.at(now)
 	b.unserved(c)
 }
 
 // Reported hears a report that came by itself or for a probe.
 func (b *Brain) Reported(now float64, p *contact.Pool, ok, full bool) {
-	b.now = now
+	b.at(now)
 	b.learn(p, full)
 }
 
 // Told hears another gateway.
-func (b *Brain) Told(now float64, from int, data []byte) { b.now = now }
+func (b *Brain) Told(now float64, from int, data []byte) { b.at(now) }
 
 // Woken goes on with a contact, or with the line.
 func (b *Brain) Woken(now float64, c *contact.Contact) {
-	b.now = now
+	b.at(now)
 	switch {
 	case c == nil:
 		b.awake = false
@@ -293,6 +298,17 @@
 	b.host.Wake(b.now+probeEvery, nil)
 }
 
+// at moves the clock. A gateway that stood still finds all that came meanwhile at once, and can't tell when:
+// idle is how long it heard nothing.
+func (b *Brain) at(now float64) {
+	if now > b.now {
+		if b.idle = now - b.now; b.idle < longIdle {
+			b.idle = 0 // it need not mean anything
+		}
+		b.now = now
+	}
+}
+
 func note(p *contact.Pool) *pool { return p.Notes.(*pool) }
 
 // chance draws a number from 0 to 1: the hash of the instance's seed and a counter.
@@ -468,7 +484,7 @@
 	}
 	b.fill(p)
 	n := note(p)
-	if b.worth(c)*b.came.read(b.now) < little*b.value.read(b.now) && n.expect(b.now) > spareRoom*b.goal {
+	if b.worth(c)*b.came.read(b.now) < little*b.value.read(b.now) && n.expect(b.now, b.idle) > spareRoom*b.goal {
 		return false // what is worth little takes only what nobody else will miss
 	}
 	if n.silent > 1 && (len(n.out) > 0 || b.now-n.life < probeEvery) {
@@ -488,7 +504,7 @@
 	n := note(p)
 	dt := math.Max(0, b.now-math.Max(n.filled, n.shut)) // what turns set-ups away earns nothing meanwhile
 	n.filled = b.now
-	off := math.Max(worst, 1-math.Max(n.expect(b.now)/b.goal, agents(p)))
+	off := math.Max(worst, 1-math.Max(n.expect(b.now, b.idle)/b.goal, agents(p)))
 	turn := growth / n.every
 	switch {
 	case off < 0:
@@ -610,7 +626,9 @@
 		b.hear(n)
 		n.base = math.Min(n.base, r.Cost)
 		n.timed, n.turned = b.now, 0
-		b.judge(n, r.Cost-n.base)
+		if w := r.Cost - n.base; w < b.goal || w > b.idle {
+			b.judge(n, w-math.Min(b.idle, w)) // else it may have waited unread here
+		}
 		return
 	case r.End == contact.Full && r.NoAgent:
 		n.noAgent, r.Pool.Report.Free = true, 0
@@ -661,14 +679,14 @@
 
 // expect is the wait that a set-up sent now must reckon with: the faded judgement, but no less than the
 // oldest set-up under way has waited; where some were lost lately, the second oldest.
-func (n *pool) expect(now float64) float64 {
+func (n *pool) expect(now, idle float64) float64 {
 	w := n.faded(now)
 	skip := 0
 	if n.lost.read(now) > lossy {
 		skip = 1
 	}
 	if len(n.out) > skip {
-		w = math.Max(w, now-n.out[skip].Sent-n.least())
+		w = math.Max(w, now-idle-n.out[skip].Sent-n.least())
 	}
 	return w
 }
@@ -724,7 +742,7 @@
 	}
 	part := b.set.ColdShare + (1-b.set.ColdShare)*math.Max(0, age)/b.set.WarmWithin
 	safety := coldSafety
-	if n.timed > n.fresh && n.expect(b.now) < spareRoom*b.goal {
+	if n.timed > n.fresh && n.expect(b.now, b.idle) < spareRoom*b.goal {
 		safety = coldProven // set-ups stand there at once
 	}
 	rate := b.came.rate(b.now) * b.share(p) * safety * b.set.TipMultiple * part
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -42,10 +42,6 @@
 	if f := h.b.free(ps[0]); f != 0 {
 		t.Errorf("nought report: free share %v, want 0", f)
 	}
-	h.b.now += 2001
-	if f := h.b.free(ps[0]); f != noughtShare {
-		t.Errorf("nought report of 2 s ago: free share %v, want %v", f, noughtShare)
-	}
 	ps[1].State = contact.Draining
 	h.pass(1000)
 	if c := h.offer(ps[1]); !c.Over {
@@ -55,6 +51,9 @@
 	if c := h.offer(ps[1]); c.Out == nil || c.Out.Pool != ps[0] {
 		t.Error("a draining destination must be left for another pool")
 	}
+	if f := h.b.free(ps[0]); f != noughtShare {
+		t.Errorf("nought report of 2 s ago: free share %v, want %v", f, noughtShare)
+	}
 }
 
 // With no pool at all a contact gets its answer within its patience, and at once when it can't be served.
@@ -144,7 +143,7 @@
 	if len(h.cancelled) != 1 || h.cancelled[0].Contact != lost {
 		t.Fatalf("%d set-ups called off, want the lost one", len(h.cancelled))
 	}
-	if w := note(ps[0]).expect(h.now); w > h.b.goal {
+	if w := note(ps[0]).expect(h.now, 0); w > h.b.goal {
 		t.Errorf("a lost set-up counts as a wait of %v", w)
 	}
 }
@@ -181,7 +180,7 @@
 	h, ps := setup(1)
 	ps[0].Report.Agents, ps[0].Report.Free, ps[0].Report.Wait = 1000, 500, 3e9
 	h.b.Reported(h.now, ps[0], true, true)
-	if w := note(ps[0]).expect(h.now); w != 0 {
+	if w := note(ps[0]).expect(h.now, 0); w != 0 {
 		t.Errorf("wait judged %v", w)
 	}
 }
@@ -272,3 +271,26 @@
 		}
 	}
 }
+
+// A gateway that stood still finds a backlog: its contacts came earlier, its answers tell nothing of the wait.
+func TestBacklog(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+	h.stand(h.offer(ps[0]), 20)
+	h.pass(100)
+	c := h.offer(ps[0])
+	h.now, h.left = h.now+1800, h.left-1500
+	if late := h.offer(ps[0]); late.Came != h.now-1500 {
+		t.Errorf("came %v ago, want 1500", h.now-late.Came)
+	}
+	h.stand(c, 1800)
+	if w := note(ps[0]).expect(h.now, 0); w != 0 {
+		t.Errorf("wait judged %v", w)
+	}
+	h.now += 2000
+	slow := h.offer(ps[0])
+	h.pass(5)
+	if h.stand(slow, 1800); note(ps[0]).expect(h.now, 0) < h.b.goal {
+		t.Error("a wait seen by a gateway that did not stand still must count")
+	}
+}
--- a/contact/contact.go
+++ b/contact/contact.go
@@ -91,7 +91,7 @@
 	Number     string    // the number called
 	First      float64   // when its caller first came, as far as the module can tell
 	InLine     bool      // the module keeps it until there is room
-	Came       float64   // when it was taken
+	Came       float64   // when it was taken; the module sets it back where it waited unread
 	Until      float64   // when this try is given up
 	Again      bool      // it was cut before
 	Rings      int       // rings so far
