--- a/brain/brain.go
+++ b/brain/brain.go
@@ -634,7 +634,8 @@
 		n.noAgent, r.Pool.Report.Free = true, 0
 		return // the report with it is older than that
 	case r.End == contact.Cancelled, r.End == contact.TimedOut:
-		if !r.Lost && n.silent > 1 { // else lost, not late: nothing of the wait is known
+		if !r.Lost && n.timed < r.Sent && (n.silent > 1 || n.lost.read(b.now) < lossy) { // else lost, not late: nothing of the wait is known
+			b.hear(n)
 			b.judge(n, r.Cost)
 		}
 	case r.End == contact.Full:
