--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,7 +40,7 @@
 	leastPace  = 0.001  // set-ups a millisecond that a pool always gets, from all gateways together
 	release    = 3.0    // a pace is no more than so many times what is sent lately,
 	mostEven   = 1.2    // or than so many even parts of what the pool is rated for,
-	leastEven  = 0.1    // and no less than this one
+	leastEven  = 0.03   // and no less than this one
 	patienceIn = 0.45   // of the answer target: so long a contact may wait in line here
 	openFor    = 500.0  // so long a token is good for contacts of another destination
 	swing      = 3.0    // standard deviations of a load that a group of agents has to spare
