News of a pool's wait is told to four gateways drawn by chance

A wait seen here that is off by twice the one aimed at, long or short, is told at most five times a second to four gateways; they heed it where they heard nothing for a second.

--- a/benchwire/benchwire_test.go
+++ b/benchwire/benchwire_test.go
@@ -42,7 +42,7 @@
 	e.note("report %v %v free %v util %v", ok, full, p.Report.Free, p.Report.Util)
 }
 func (e *echo) Told(_ float64, from int, data []byte) { e.note("told %d %s", from, data) }
-func (e *echo) Woken(now float64, c *contact.Contact) { e.note("woken"); e.host.Tell([]byte("hi")) }
+func (e *echo) Woken(now float64, c *contact.Contact) { e.note("woken"); e.host.Tell(1, []byte("hi")) }
 
 const create = `create	gateway-3	18446744073709551615	{"me":2,"balancers":4,"new":[1],"stats":{"fields":` +
 	`["free","busy","odd"],"how":"inline"},"lanes":[{"name":"a","aim":2000.0,"hardLimit":9000.0}]}`
@@ -79,7 +79,7 @@
 		t.Errorf("heard\n%s\nwant\n%s", got, want)
 	}
 	if want := "ready\ntry	gateway-3	00ff	7	80.000\nschedule	gateway-3	30.000	1\nready\n" +
-		"memo_to	gateway-3	all	6869\nready\n"; out != want {
+		"memo_to	gateway-3	1	6869\nready\n"; out != want {
 		t.Errorf("wrote\n%s\nwant\n%s", out, want)
 	}
 	if s := e.set; s.Gateways != 4 || s.Seed != 1<<64-1 || s.Skills[0].Value != 1 {
--- a/benchwire/codec.go
+++ b/benchwire/codec.go
@@ -159,9 +159,9 @@
 		MaxAttempts                                     int
 		MaxRetryAfter                                   float64
 	}
-	Balancers  int
-	Tick       float64
-	FamilyInfo struct {
+	Balancers, Me int
+	Tick          float64
+	FamilyInfo    struct {
 		CallLength            []float64
 		ClearWait, Retransmit float64
 		SkilledPools          [][]int
@@ -188,7 +188,7 @@
 		return nil, nil, fmt.Errorf("params: %w", err)
 	}
 	s := &contact.Settings{
-		Gateways: w.Balancers, Seed: seed, Tick: w.Tick,
+		Gateways: w.Balancers, Me: w.Me, Seed: seed, Tick: w.Tick,
 		MaxRings: w.Allowed.MaxAttempts, MayProbe: w.Allowed.Probes, MayTell: w.Allowed.Peers,
 		MayCancel: w.Allowed.Cancel, MayWait: w.Allowed.RetryAfter, MaxWait: w.Allowed.MaxRetryAfter,
 		ByProbe: w.Stats.How == "on_probe", Retransmit: w.FamilyInfo.Retransmit,
--- a/benchwire/host.go
+++ b/benchwire/host.go
@@ -108,7 +108,9 @@
 func (in *instance) Probe(p *contact.Pool) { in.act("ask_load", num(in.ids[p])) }
 
 // Tell implements contact.Host.
-func (in *instance) Tell(data []byte) { in.act("memo_to", "all", hex.EncodeToString(data)) }
+func (in *instance) Tell(to int, data []byte) {
+	in.act("memo_to", num(int64(to)), hex.EncodeToString(data))
+}
 
 // Wake implements contact.Host.
 func (in *instance) Wake(at float64, c *contact.Contact) {
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -22,42 +22,47 @@
 	noughtShare = 0.1    // design: counts as this free share
 	probeEvery  = 1000.0 // design: where reports come only by probe
 
-	span       = 5000.0 // counts fade like this
-	waitSpan   = 2000.0 // a judgement of a pool's wait fades like this
-	coldSafety = 0.4    // part of the cold budget that a gateway uses
-	coldProven = 0.8    // the same once set-ups there stand without a wait
-	coldOpen   = 0.6    // of the time that tips a cold pool: so long a token for it is good
-	goalRepeat = 0.35   // the wait aimed at: this part of the time of the first repeat
-	goalTarget = 0.15   // and no more than this part of the shortest answer target
-	goalElse   = 150.0  // the same where neither is known
-	growth     = 1.0    // a second: how fast a pace grows at no wait
-	regrowth   = 3.0    // a second: the same, up to half of the pace before the latest press
-	decline    = 0.7    // a second: how fast it falls at twice the wait aimed at
-	lean       = 0.5    // how far the pace leans at once against the wait
-	mostWait   = 6.0    // of the wait aimed at: no judgement is longer
-	ownFirst   = 500.0  // a wait reported within this after a set-up time seen here does not count
-	worst      = -2.0   // a wait counts as no more than this many times over the one aimed at
-	leastPace  = 0.001  // set-ups a millisecond that a pool always gets, from all gateways together
-	release    = 3.0    // a pace is no more than so many times what is sent lately,
-	mostEven   = 1.2    // or than so many even parts of what the pool is rated for,
-	leastEven  = 0.03   // and no less than this one
-	patienceIn = 0.45   // of the answer target: so long a contact may wait in line here
-	openFor    = 500.0  // so long a token is good for contacts of another destination
-	swing      = 3.0    // standard deviations of a load that a group of agents has to spare
-	agentShare = 0.03   // of the agents: with fewer free the pace falls
-	agentLeast = 3.0    // but no fewer agents than this
-	overtaken  = 0.5    // of the wait aimed at: a set-up sent so long before one that stands is lost
-	lossy      = 0.5    // lost set-ups lately: with more a lone set-up under way may be lost too
-	little     = 0.5    // of the mean worth: a contact of less
-	spareRoom  = 0.4    // takes only a pool with a wait under this part of the one aimed at
-	comeBack   = 0.15   // of the answer target: a deferred caller who can still be in time is asked back then
-	engagedFor = 2000.0 // a number with no line free is left alone so long
-	longIdle   = 500.0
-	longEvery  = 10000.0
-	fullPause  = 400.0  // a pool that turns a set-up away is left alone so long, twice as long the next time
-	fullMost   = 8000.0 // but no longer
-	fullCut    = 0.7    // and its pace cut to this part
-	lookAgain  = 20.0   // how often the line is looked at
+	span       = 5000.0  // counts fade like this
+	waitSpan   = 2000.0  // a judgement of a pool's wait fades like this
+	coldSafety = 0.4     // part of the cold budget that a gateway uses
+	coldProven = 0.8     // the same once set-ups there stand without a wait
+	coldOpen   = 0.6     // of the time that tips a cold pool: so long a token for it is good
+	goalRepeat = 0.35    // the wait aimed at: this part of the time of the first repeat
+	goalTarget = 0.15    // and no more than this part of the shortest answer target
+	goalElse   = 150.0   // the same where neither is known
+	growth     = 1.0     // a second: how fast a pace grows at no wait
+	regrowth   = 3.0     // a second: the same, up to half of the pace before the latest press
+	decline    = 0.7     // a second: how fast it falls at twice the wait aimed at
+	lean       = 0.5     // how far the pace leans at once against the wait
+	mostWait   = 6.0     // of the wait aimed at: no judgement is longer
+	ownFirst   = 500.0   // a wait reported within this after a set-up time seen here does not count
+	worst      = -2.0    // a wait counts as no more than this many times over the one aimed at
+	leastPace  = 0.001   // set-ups a millisecond that a pool always gets, from all gateways together
+	release    = 3.0     // a pace is no more than so many times what is sent lately,
+	mostEven   = 1.2     // or than so many even parts of what the pool is rated for,
+	leastEven  = 0.03    // and no less than this one
+	patienceIn = 0.45    // of the answer target: so long a contact may wait in line here
+	openFor    = 500.0   // so long a token is good for contacts of another destination
+	swing      = 3.0     // standard deviations of a load that a group of agents has to spare
+	agentShare = 0.03    // of the agents: with fewer free the pace falls
+	agentLeast = 3.0     // but no fewer agents than this
+	overtaken  = 0.5     // of the wait aimed at: a set-up sent so long before one that stands is lost
+	lossy      = 0.5     // lost set-ups lately: with more a lone set-up under way may be lost too
+	little     = 0.5     // of the mean worth: a contact of less
+	spareRoom  = 0.4     // takes only a pool with a wait under this part of the one aimed at
+	comeBack   = 0.15    // of the answer target: a deferred caller who can still be in time is asked back then
+	engagedFor = 2000.0  // a number with no line free is left alone so long
+	longIdle   = 500.0   // a gateway that heard nothing for longer may have stood still
+	longEvery  = 10000.0 // a pool not heard for longer counts as heard once in this time
+	tellEvery  = 200.0   // news is told no more often than this,
+	tellTo     = 4       // to so many gateways,
+	tellUnit   = 10.0    // in steps of so many milliseconds,
+	newsFrom   = 2.0     // when a wait is off by so many times the one aimed at,
+	newsFor    = 1000.0  // to those who have heard nothing of that pool for so long
+	fullPause  = 400.0   // a pool that turns a set-up away is left alone so long, twice as long the next time
+	fullMost   = 8000.0  // but no longer
+	fullCut    = 0.7     // and its pace cut to this part
+	lookAgain  = 20.0    // how often the line is looked at
 )
 
 // Brain is the decision module of one gateway.
@@ -71,6 +76,7 @@
 	pools         []*contact.Pool            // in the order in which they were first listed
 	line          []*contact.Contact         // contacts that wait for room, the most valuable first
 	probed        float64                    // when pools were last probed
+	telling       float64                    // when others may be told next
 	awake         bool                       // the line will be looked at
 	came          sum                        // first tries that came lately
 	value         sum                        // and what they are worth
@@ -105,6 +111,7 @@
 	noAgent bool            // told with no free agent
 	wait    float64         // the wait at its processor, as judged
 	judged  float64         // and when
+	saw     float64         // the latest wait seen here that others were not told yet, or -1
 	told    float64         // when anything was last heard of it
 	every   float64         // how long it is between two times, but at least a second
 	timed   float64         // when a set-up time was last seen
@@ -209,7 +216,7 @@
 		}
 		if p.Notes == nil {
 			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), tokens: 1 - b.chance()*(1-b.part(1)), filled: now,
-				counted: now, budget: b.chance(), every: 1000}
+				counted: now, budget: b.chance(), every: 1000, saw: -1}
 		}
 		if p.State != contact.Gone && !slices.Contains(b.pools, p) {
 			b.pools = append(b.pools, p)
@@ -248,12 +255,14 @@
 func (b *Brain) Stood(now float64, r *contact.Ring) {
 	b.at(now)
 	b.back(r)
+	b.tell()
 }
 
 // Ended hears how a ring ended; closed: its contact needs no answer any more.
 func (b *Brain) Ended(now float64, r *contact.Ring, closed bool) {
 	b.at(now)
 	b.back(r)
+	b.tell()
 }
 
 // Left hears that a caller is gone.
@@ -269,7 +278,36 @@
 }
 
 // Told hears another gateway.
-func (b *Brain) Told(now float64, from int, data []byte) { b.at(now) }
+func (b *Brain) Told(now float64, from int, data []byte) {
+	b.at(now)
+	for ; len(data) > 1; data = data[2:] {
+		for _, p := range b.places {
+			if n := note(p); p.Number == int(data[0]) && b.now-n.told > newsFor {
+				b.judge(n, float64(data[1])*tellUnit)
+			}
+		}
+	}
+}
+
+// tell passes on what was seen here of the pools' waits since the last time, to a few gateways drawn by chance.
+func (b *Brain) tell() {
+	if !b.set.MayTell || b.now < b.telling || b.set.Gateways < 2 {
+		return
+	}
+	var data []byte
+	for _, p := range b.places {
+		if n := note(p); n.saw >= 0 && p.State == contact.Ready && p.Number < 256 {
+			data = append(data, byte(p.Number), byte(math.Min(255, n.saw/tellUnit)))
+			n.saw = -1
+		}
+	}
+	for i := 0; i < tellTo && len(data) > 0; i++ {
+		b.telling = b.now + tellEvery
+		if to := int(b.chance() * float64(b.set.Gateways)); to != b.set.Me {
+			b.host.Tell(to, data)
+		}
+	}
+}
 
 // Woken goes on with a contact, or with the line.
 func (b *Brain) Woken(now float64, c *contact.Contact) {
@@ -627,7 +665,7 @@
 		n.base = math.Min(n.base, r.Cost)
 		n.timed, n.turned = b.now, 0
 		if w := r.Cost - n.base; w < b.goal || w > b.idle {
-			b.judge(n, w-math.Min(b.idle, w)) // else it may have waited unread here
+			b.see(n, w-math.Min(b.idle, w)) // else it may have waited unread here
 		}
 		return
 	case r.End == contact.Full && r.NoAgent:
@@ -636,11 +674,12 @@
 	case r.End == contact.Cancelled, r.End == contact.TimedOut:
 		if !r.Lost && n.timed < r.Sent && (n.silent > 1 || n.lost.read(b.now) < lossy) { // else lost, not late: nothing of the wait is known
 			b.hear(n)
-			b.judge(n, r.Cost)
+			b.see(n, r.Cost)
 		}
 	case r.End == contact.Full:
 		if b.now >= n.shut {
 			n.pace *= fullCut
+			n.saw = mostWait * b.goal
 		}
 		pause := math.Min(fullMost, fullPause*n.every/1000*math.Exp2(float64(n.turned))) * (0.5 + b.chance())
 		n.turned++
@@ -705,6 +744,14 @@
 	return n.base
 }
 
+// see judges a wait seen here; one that surprises is news for others.
+func (b *Brain) see(n *pool, wait float64) {
+	if math.Abs(math.Min(mostWait*b.goal, wait)-n.faded(b.now)) > newsFrom*b.goal {
+		n.saw = wait
+	}
+	b.judge(n, wait)
+}
+
 // judge takes a sample of the wait. It is bounded, so that any judgement is forgotten in bounded time.
 func (b *Brain) judge(n *pool, sample float64) {
 	w := n.faded(b.now)
--- a/contact/contact.go
+++ b/contact/contact.go
@@ -14,8 +14,8 @@
 	Cancel(r *Ring)
 	// Probe asks a pool for a report.
 	Probe(p *Pool)
-	// Tell sends a short message to every other gateway.
-	Tell(data []byte)
+	// Tell sends a short message to another gateway, named by its number from 0.
+	Tell(to int, data []byte)
 	// Wake calls the module back at or after a time; c may be nil.
 	Wake(at float64, c *Contact)
 }
@@ -121,6 +121,7 @@
 // Settings are the deployment's figures, as handed over at start.
 type Settings struct {
 	Gateways  int
+	Me        int // this one's number among them, from 0
 	Seed      uint64
 	Skills    []*Skill
 	Customers []*Customer
