--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,6 +52,7 @@
 	spareRoom  = 0.4     // takes only a pool with a wait under this part of the one aimed at
 	comeBack   = 0.15    // of the answer target: a deferred caller who can still be in time is asked back then
 	engagedFor = 2000.0  // a number with no line free is left alone so long
+	homeCredit = 1.0     // a token in advance for the destination's own contacts while nothing presses it
 	longIdle   = 500.0   // a gateway that heard nothing for longer may have stood still
 	longEvery  = 10000.0 // a pool not heard for longer counts as heard once in this time
 	tellEvery  = 200.0   // news is told no more often than this,
@@ -528,10 +529,16 @@
 	if n.silent > 1 && (len(n.out) > 0 || b.now-n.life < probeEvery) {
 		return false // a pool that is silent gets one set-up at a time to show that it is back
 	}
-	if n.tokens < 1 || b.now < n.shut {
+	if b.now < n.shut {
 		return false
 	}
-	return p == c.Home || n.tokens < 1+math.Max(n.pace*openFor, 0) || n.pace*openFor >= 1
+	calm := b.idle == 0 && n.expect(b.now, 0) < spareRoom*b.goal && agents(p) < spareRoom && n.pace >= n.knee/2
+	if p == c.Home {
+		return n.tokens >= 1 || calm && n.tokens >= 1-homeCredit // its own contacts come as they come
+	}
+	// for others a token is good for a moment only: else all that gateways had saved up would come at once to the
+	// few pools with room when a large one fails
+	return n.tokens >= 1 && (n.tokens < 1+n.pace*openFor || n.pace*openFor >= 1)
 }
 
 // fill brings a pool's pace and tokens up to date. While set-ups there wait longer than aimed at, the pace
@@ -562,7 +569,7 @@
 	n.pace = math.Min(most, math.Min(most, n.pace)*math.Exp(off*turn*dt))
 	n.pace = math.Max(n.pace, math.Max(b.part(leastPace), leastEven*even))
 	n.tokens += dt * n.pace * (1 + lean*off)
-	if n.tokens > 2 && n.pace*b.goal < 1 {
+	if n.tokens > 2 && n.pace*openFor < 1 {
 		n.tokens = 1 + frac(n.tokens)
 	} else {
 		n.tokens = math.Min(1+math.Max(1, n.pace*b.goal), n.tokens)
