Tests: a fleet beside a cold pool, news, gateway counts

The fleet test runs up to 250 modules with backlogs and late news of the start beside one cold pool on generated inputs and counts all sends in every window.

--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -294,3 +294,52 @@
 		t.Error("a wait seen by a gateway that did not stand still must count")
 	}
 }
+
+// A wait that surprises is told to others; they heed it where they heard nothing lately, and no nonsense.
+func TestNews(t *testing.T) {
+	h, ps := setup(2)
+	h.b.set.MayTell, h.b.set.Gateways = true, 200
+	h.stand(h.offer(ps[1]), 20)
+	if h.pass(1000); len(h.told) > 0 {
+		t.Error("a set-up that stands at once is no news")
+	}
+	h.stand(h.offer(ps[1]), 2000)
+	if len(h.told) == 0 || len(h.told) > tellTo {
+		t.Fatalf("%d messages, want up to %d", len(h.told), tellTo)
+	}
+	other, qs := setup(2)
+	for _, odd := range [][]byte{nil, {1}, {99, 200}, {99}} {
+		other.b.Told(other.now, -5, odd)
+	}
+	other.b.Told(other.now+2000, 1<<30, append(h.told[0], 1))
+	if a, b := note(qs[0]).wait, note(qs[1]).wait; a != 0 || b < other.b.goal {
+		t.Errorf("waits judged %v and %v, want none and a long one", a, b)
+	}
+}
+
+// However many gateways there are said to be, contacts are rung, and the floors of all stay small together.
+func TestGatewayCounts(t *testing.T) {
+	for _, count := range []int{-1, 0, 1, 300} {
+		h, ps := setup(1)
+		h.b.set.Gateways = count
+		ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+		for i := 0; i < 60; i++ {
+			h.pass(3000)
+			if c := h.offer(ps[0]); c.Out != nil {
+				h.stand(c, 20)
+			}
+		}
+		if len(h.rings) < 30 {
+			t.Errorf("%d gateways: %d of 60 contacts rung", count, len(h.rings))
+		}
+		for i := 0; i < 100; i++ { // a long press
+			h.pass(100)
+			h.b.at(h.now)
+			h.b.judge(note(ps[0]), 9e9)
+			h.b.fill(ps[0])
+		}
+		if all := note(ps[0]).pace * float64(max(1, count)); !(all > 0) || all > 0.05*h.b.size(ps[0])/1000 {
+			t.Errorf("%d gateways: a floor of %v set-ups a ms for all", count, all)
+		}
+	}
+}
--- a/brain/help_test.go
+++ b/brain/help_test.go
@@ -23,6 +23,7 @@
 	rings, cancelled    []*contact.Ring
 	deferred, abandoned []*contact.Contact
 	probed              int
+	told                [][]byte
 	wakes               []wake
 	rule                func(rule int, what string) // hears of a broken rule
 	answered            map[*contact.Contact]bool
@@ -72,7 +73,7 @@
 func (h *bench) Abandon(c *contact.Contact)          { h.answer(c); h.abandoned = append(h.abandoned, c) }
 func (h *bench) Cancel(r *contact.Ring)              { h.cancelled = append(h.cancelled, r) }
 func (h *bench) Probe(*contact.Pool)                 { h.probed++ }
-func (h *bench) Tell(int, []byte)                    {}
+func (h *bench) Tell(to int, data []byte)            { h.told = append(h.told, data) }
 func (h *bench) Wake(at float64, c *contact.Contact) { h.wakes = append(h.wakes, wake{at, c}) }
 
 func newPool(i int) *contact.Pool {
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
+	"sort"
 	"testing"
 	"testing/quick"
 
@@ -100,6 +102,78 @@
 	}
 }
 
+// TestFleetAndColdPool puts many modules beside one pool that starts cold, on generated inputs, and counts what they
+// send it together in every window that tips it. They hear of the start at different times, some were restarted with
+// an old list, some stand still and find a backlog, and the pool was down for long before: no time earns a burst.
+func TestFleetAndColdPool(t *testing.T) {
+	fleet := func(seed int64) bool {
+		rnd := rand.New(rand.NewSource(seed))
+		pools, gateways := 2+rnd.Intn(8), 5+rnd.Intn(250)
+		lines, every := 200+rnd.Float64()*800, 200+rnd.Float64()*600 // of each pool; between contacts at a gateway
+		var hs []*bench
+		told := make([]float64, gateways)
+		for i := 0; i < gateways; i++ {
+			h, ps := setup(pools)
+			h.now += rnd.Float64() * 5 // gateways are not in step
+			h.b.set.Gateways, h.b.set.Seed = gateways, uint64(seed)+uint64(i)*7919
+			for _, p := range ps {
+				p.Report.Agents, p.Report.Free = lines, lines/2
+				note(p).tokens = rnd.Float64()
+			}
+			hs = append(hs, h)
+			told[i] = rnd.Float64() * 500
+		}
+		start, end := 1e6+6000.0, 1e6+6000+10000
+		var sent []float64
+		for i, h := range hs {
+			p := h.b.pools[0]
+			p.State = contact.Gone // down before: contacts come all the time
+			h.b.Listed(h.now, []*contact.Pool{p})
+			next, heard := h.now+rnd.ExpFloat64()*every, false
+			for h.now < end {
+				if rnd.Intn(400) == 0 { // it stands still, and finds what came meanwhile
+					h.now += 1500
+				}
+				h.pass(10)
+				if !heard && h.now >= start+told[i] {
+					heard, p.State, p.Since = true, contact.Ready, start
+					for _, q := range h.b.places {
+						if q != p {
+							q.State = contact.Draining // all that comes wants the cold pool
+						}
+					}
+					h.b.Listed(h.now, h.b.places)
+				}
+				for ; next < h.now; next += rnd.ExpFloat64() * every {
+					if c := h.offer(h.b.places[rnd.Intn(pools)]); c.Out != nil && !c.Stands {
+						h.stand(c, 20+rnd.Float64()*40)
+					}
+				}
+				for _, r := range h.rings[max(0, len(h.rings)-50):] {
+					if c := r.Contact; c.Out == r && !c.Stands {
+						h.stand(c, 60)
+					}
+				}
+			}
+			sent = append(sent, h.sent[p]...)
+		}
+		sort.Float64s(sent)
+		warm := float64(gateways) / every * 1000 / float64(pools) // the load of a place, in set-ups a second
+		for i, from := range sent {
+			part := math.Min(1, 0.3+0.7*(from+500-start)/14000)
+			if n, most := within(sent[i:], from+1000), 2.5*part*warm; float64(n) > most+math.Sqrt(most)+1 {
+				t.Logf("seed %d: %d gateways, %d pools: %d set-ups in a second, %.0f ms after the start, budget %.0f",
+					seed, gateways, pools, n, from-start, most)
+				return false
+			}
+		}
+		return len(sent) > 0
+	}
+	if err := quick.Check(fleet, &quick.Config{MaxCount: 8, Rand: rand.New(rand.NewSource(2))}); err != nil {
+		t.Error(err)
+	}
+}
+
 // finish ends a ring and forgets it.
 func (h *bench) finish(open map[*contact.Ring]float64, r *contact.Ring, end contact.End) {
 	delete(open, r)
