--- a/brain/brain.go
+++ b/brain/brain.go
@@ -679,7 +679,7 @@
 		n.noAgent, r.Pool.Report.Free = true, 0
 		return // the report with it is older than that
 	case r.End == contact.Cancelled, r.End == contact.TimedOut:
-		if !r.Lost && n.timed < r.Sent && (n.silent > 1 || n.lost.read(b.now) < lossy) { // else lost, not late: nothing of the wait is known
+		if !r.Lost && n.timed < r.Sent && r.Sent > n.fresh && (n.silent > 1 || n.lost.read(b.now) < lossy) { // else lost, not late: nothing of the wait is known
 			b.hear(n)
 			b.see(n, r.Cost)
 		}
@@ -862,7 +862,7 @@
 		n.cuts++
 	case r.End == contact.Reset:
 		n.cuts++
-	case !r.Lost && r.End != contact.Unsent:
+	case !r.Lost && r.End != contact.Unsent && r.Sent > n.fresh:
 		n.silent++
 	}
 	for stood && b.set.MayCancel && len(n.out) > 0 && n.out[0].Sent < r.Sent-overtaken*b.goal {
@@ -879,6 +879,7 @@
 // restart begins a pool's notes anew: its processor has started cold. The time before earns no cold budget.
 func (n *pool) restart(now, at float64) {
 	n.fresh, n.wait, n.pace, n.silent, n.budget, n.counted = at, 0, math.Inf(1), 0, frac(n.budget), now
+	n.out = slices.DeleteFunc(n.out, func(r *contact.Ring) bool { return r.Sent < at }) // lost with the old one
 }
 
 // inTime tells whether a contact called off now could still stand in time elsewhere.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -343,3 +343,21 @@
 		}
 	}
 }
+
+// Set-ups sent before a pool's start say nothing of it, however they end.
+func TestOldSetUpsAfterRestart(t *testing.T) {
+	h, ps := setup(1)
+	ps[0].Report.Agents, ps[0].Report.Free = 1000, 500
+	h.stand(h.offer(ps[0]), 20)
+	h.pass(1000)
+	a, b := h.offer(ps[0]), h.offer(ps[0])
+	h.pass(1000)
+	ps[0].Since = h.now
+	h.b.Listed(h.now, ps)
+	h.pass(1500)
+	h.end(a, contact.TimedOut)
+	h.end(b, contact.TimedOut)
+	if n := note(ps[0]); n.silent > 0 || n.expect(h.now, 0) > 0 {
+		t.Errorf("silent %d, wait %v after a restart", n.silent, n.expect(h.now, 0))
+	}
+}
