--- a/brain/brain.go
+++ b/brain/brain.go
@@ -801,7 +801,7 @@
 		safety = coldProven // set-ups stand there at once
 	}
 	rate := b.came.rate(b.now) * b.share(p) * safety * b.set.TipMultiple * part
-	n.pace = math.Max(b.part(leastPace), math.Min(n.pace, rate)) // and no rush when it is warm
+	n.pace = math.Max(b.part(leastPace), math.Min(n.pace, 2*rate)) // and no rush when it is warm
 	n.budget += rate * (b.now - n.counted)
 	n.counted = b.now
 	open := rate * b.set.TipTime * coldOpen
