--- a/brain/brain.go
+++ b/brain/brain.go
@@ -68,24 +68,28 @@
 
 // Brain is the decision module of one gateway.
 type Brain struct {
-	set           *contact.Settings
-	host          contact.Host
-	now, idle     float64
-	draws         uint64
-	goal          float64                    // the wait aimed at in a pool
-	longest, hold float64                    // the longest patience, and the longest mean time that a contact stands
-	pools         []*contact.Pool            // in the order in which they were first listed
-	line          []*contact.Contact         // contacts that wait for room, the most valuable first
-	probed        float64                    // when pools were last probed
-	telling       float64                    // when others may be told next
-	awake         bool                       // the line will be looked at
-	came          sum                        // first tries that came lately
-	value         sum                        // and what they are worth
-	places        []*contact.Pool            // the latest pool of each number
-	tried         map[caller]float64         // callers who went unserved, and when they first came
-	most          map[*contact.Skill]float64 // the most time that was left of a contact when it came
-	engaged       map[string]*number         // numbers that were found engaged
-	swept         float64                    // when those who have given up were last forgotten
+	set     *contact.Settings
+	host    contact.Host
+	now     float64
+	idle    float64 // so long nothing was heard before now, if that may mean that this gateway stood still
+	draws   uint64
+	goal    float64                    // the wait aimed at in a pool
+	longest float64                    // the longest patience
+	hold    float64                    // the longest mean time that a contact stands
+	whole   float64                    // the total capacity of all places
+	summed  float64                    // and when it was added up
+	pools   []*contact.Pool            // in the order in which they were first listed
+	line    []*contact.Contact         // contacts that wait for room, the most valuable first
+	probed  float64                    // when pools were last probed
+	telling float64                    // when others may be told next
+	awake   bool                       // the line will be looked at
+	came    sum                        // first tries that came lately
+	value   sum                        // and what they are worth
+	places  []*contact.Pool            // the latest pool of each number
+	tried   map[caller]float64         // callers who went unserved, and when they first came
+	most    map[*contact.Skill]float64 // the most time that was left of a contact when it came
+	engaged map[string]*number         // numbers that were found engaged
+	swept   float64                    // when those who have given up were last forgotten
 }
 
 // caller is what a redial has in common with the try before it.
@@ -216,8 +220,9 @@
 			b.pools = slices.Delete(b.pools, i, i+1)
 		}
 		if p.Notes == nil {
-			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), tokens: 1 - b.chance()*(1-b.part(1)), filled: now,
-				counted: now, budget: b.chance(), every: 1000, saw: -1}
+			p.Notes = &pool{base: math.Inf(1), fresh: math.Inf(-1), pace: math.Inf(1), filled: now, counted: now,
+				tokens: 1 - b.chance()*(1-b.part(1)), // the first one falls due at a moment drawn by chance
+				budget: b.chance(), every: 1000, saw: -1}
 		}
 		if p.State != contact.Gone && !slices.Contains(b.pools, p) {
 			b.pools = append(b.pools, p)
@@ -278,7 +283,8 @@
 	b.learn(p, full)
 }
 
-// Told hears another gateway.
+// Told hears another gateway's news: pairs of a pool's number and the wait seen there. What was heard here
+// lately goes first, and news that makes no sense is passed over.
 func (b *Brain) Told(now float64, from int, data []byte) {
 	b.at(now)
 	for ; len(data) > 1; data = data[2:] {
@@ -290,7 +296,8 @@
 	}
 }
 
-// tell passes on what was seen here of the pools' waits since the last time, to a few gateways drawn by chance.
+// tell passes on news of the pools' waits to a few gateways drawn by chance. It guards against jams that grow
+// faster than gateways that seldom hear of a pool could learn of them alone; the module is sound without it.
 func (b *Brain) tell() {
 	if !b.set.MayTell || b.now < b.telling || b.set.Gateways < 2 {
 		return
@@ -532,12 +539,12 @@
 	if b.now < n.shut {
 		return false
 	}
-	calm := b.idle == 0 && n.expect(b.now, 0) < spareRoom*b.goal && agents(p) < spareRoom && n.pace >= n.knee/2
-	if p == c.Home {
-		return n.tokens >= 1 || calm && n.tokens >= 1-homeCredit // its own contacts come as they come
+	if p == c.Home { // its own contacts come as they come, while nothing presses it
+		calm := b.idle == 0 && n.expect(b.now, 0) < spareRoom*b.goal && agents(p) < spareRoom && n.pace >= n.knee/2
+		return n.tokens >= 1 || calm && n.tokens >= 1-homeCredit
 	}
-	// for others a token is good for a moment only: else all that gateways had saved up would come at once to the
-	// few pools with room when a large one fails
+	// for others a token is good for a moment only: else all that the gateways had saved up would come at once
+	// to the few pools with room when a large one fails
 	return n.tokens >= 1 && (n.tokens < 1+n.pace*openFor || n.pace*openFor >= 1)
 }
 
@@ -545,6 +552,10 @@
 // falls, else it grows: gateways that each do so share the pool's processor without knowing of each other,
 // and do not all stop and start together. It guards against every cause of long waits: overload, slow
 // processors, other work on them, traffic piled on one pool.
+//
+// Where a pool is heard seldom, as with hundreds of gateways, its pace grows the slower: else each gateway
+// would be back at its full pace before its next sample. What a press tells counts at once, however seldom
+// it is seen.
 func (b *Brain) fill(p *contact.Pool) {
 	n := note(p)
 	dt := math.Max(0, b.now-math.Max(n.filled, n.shut)) // what turns set-ups away earns nothing meanwhile
@@ -623,8 +634,9 @@
 	return b.size(p) * f * f
 }
 
-// size is the total capacity in set-ups a second: the reported rate, and no more than its agents can hold;
-// the agents alone, which the document names as a measure too, where no rate is reported; else 1.
+// size is the total capacity in set-ups a second: the reported rate, and no more than its agents can hold
+// with room for the load's swing (else small pools are overrated); the agents alone, which the document
+// names as a measure too, where no rate is reported; else 1.
 func (b *Brain) size(p *contact.Pool) float64 {
 	held := math.Inf(1)
 	if p.Report.Agents > 0 && b.hold > 0 {
@@ -679,7 +691,8 @@
 		n.noAgent, r.Pool.Report.Free = true, 0
 		return // the report with it is older than that
 	case r.End == contact.Cancelled, r.End == contact.TimedOut:
-		if !r.Lost && n.timed < r.Sent && r.Sent > n.fresh && (n.silent > 1 || n.lost.read(b.now) < lossy) { // else lost, not late: nothing of the wait is known
+		late := !r.Lost && n.timed < r.Sent && (n.silent > 1 || n.lost.read(b.now) < lossy) // else lost
+		if late && r.Sent > n.fresh {                                                       // what was sent to a process that has died says nothing of the next
 			b.hear(n)
 			b.see(n, r.Cost)
 		}
@@ -783,11 +796,12 @@
 		b.cold(p) // rule 4
 }
 
-// cold is rule 4: it tells whether this gateway may send a pool a set-up now. All gateways together keep the rule
-// if each sends no more than the stated multiple of its part of a warm pool's load, scaled down to what the pool
-// can do at its present age. First tries stand for that load: they do not fall to nothing with the pools. A
-// token is good for a moment only, and gateways get theirs at moments drawn by chance: so all of them together
-// hold no more than a moment's budget, however many they are and however long nothing was sent.
+// cold is rule 4: it tells whether this gateway may send a pool a set-up now. All gateways together keep
+// the rule if each sends no more than the stated multiple of its part of a warm pool's load, scaled down to
+// what the pool can do at its present age. First tries stand for that load: they do not fall to nothing
+// with the pools. A token is good for a moment only and falls due at a moment drawn by chance: so all
+// gateways together hold no more than a moment's budget, however many they are and however long nothing was
+// sent.
 func (b *Brain) cold(p *contact.Pool) bool {
 	n := note(p)
 	age := b.now - n.fresh
@@ -818,13 +832,16 @@
 // share is a pool's part of the total capacity: the load is made for all places, not for the few pools that
 // are left.
 func (b *Brain) share(p *contact.Pool) float64 {
-	whole := 0.0
-	for _, q := range b.places {
-		whole += b.size(q)
+	if b.summed != b.now {
+		b.whole, b.summed = 0, b.now
+		for _, q := range b.places {
+			b.whole += b.size(q)
+		}
 	}
-	return b.size(p) / math.Max(whole, b.size(p))
+	return b.size(p) / math.Max(b.whole, b.size(p))
 }
 
+// frac is the part after the point.
 func frac(v float64) float64 { return v - math.Floor(v) }
 
 // ring sends the set-up.
