--- a/brain/brain.go
+++ b/brain/brain.go
@@ -691,8 +691,9 @@
 		n.noAgent, r.Pool.Report.Free = true, 0
 		return // the report with it is older than that
 	case r.End == contact.Cancelled, r.End == contact.TimedOut:
+		// one sent to a process that has died since says nothing of the next
 		late := !r.Lost && n.timed < r.Sent && (n.silent > 1 || n.lost.read(b.now) < lossy) // else lost
-		if late && r.Sent > n.fresh {                                                       // what was sent to a process that has died says nothing of the next
+		if late && r.Sent > n.fresh {
 			b.hear(n)
 			b.see(n, r.Cost)
 		}
