--- a/brain/brain.go
+++ b/brain/brain.go
@@ -60,8 +60,7 @@
 	tellUnit   = 10.0    // in steps of so many milliseconds,
 	newsFrom   = 2.0     // when a wait is off by so many times the one aimed at,
 	newsFor    = 1000.0  // to those who have heard nothing of that pool for so long
-	fullPause  = 400.0   // a pool that turns a set-up away is left alone so long, twice as long the next time
-	fullMost   = 8000.0  // but no longer
+	fullPause  = 400.0   // a pool that turns a set-up away is left alone so long, longer where it is heard seldom
 	fullCut    = 0.7     // and its pace cut to this part
 	lookAgain  = 20.0    // how often the line is looked at
 )
@@ -129,7 +128,6 @@
 	tokens  float64         // set-ups that may go now
 	filled  float64         // when pace and tokens were brought up to date
 	shut    float64         // it turned a set-up away and is left alone till then
-	turned  int             // set-ups turned away in a row
 	fresh   float64         // rule 4: when it started cold, as far as known; -Inf: long ago
 	budget  float64         // rule 4: set-ups that may go now
 	counted float64         // rule 4: when the budget was brought up to date
@@ -682,7 +680,7 @@
 	case r.Contact.Out == r:
 		b.hear(n)
 		n.base = math.Min(n.base, r.Cost)
-		n.timed, n.turned = b.now, 0
+		n.timed = b.now
 		if w := r.Cost - n.base; w < b.goal || w > b.idle {
 			b.see(n, w-math.Min(b.idle, w)) // else it may have waited unread here
 		}
@@ -702,8 +700,7 @@
 			n.pace *= fullCut
 			n.saw = mostWait * b.goal
 		}
-		pause := math.Min(fullMost, fullPause*n.every/1000*math.Exp2(float64(n.turned))) * (0.5 + b.chance())
-		n.turned++
+		pause := fullPause * n.every / 1000 * (0.5 + b.chance())
 		n.shut = b.now + math.Max(pause, math.Min(r.Wait, waitSpan))
 	case r.End == contact.Refused:
 		n.wait, n.judged = mostWait*b.goal, b.now
