--- a/brain/brain.go
+++ b/brain/brain.go
@@ -60,7 +60,7 @@
 	tellUnit   = 10.0    // in steps of so many milliseconds,
 	newsFrom   = 2.0     // when a wait is off by so many times the one aimed at,
 	newsFor    = 1000.0  // to those who have heard nothing of that pool for so long
-	fullPause  = 400.0   // a pool that turns a set-up away is left alone so long, longer where it is heard seldom
+	fullPause  = 400.0   // a pool that turns a set-up away is left alone so long, longer where heard seldom
 	fullCut    = 0.7     // and its pace cut to this part
 	lookAgain  = 20.0    // how often the line is looked at
 )
