Hosts of the module share package host: pool list and rings written once

The gateway to come needs what the bench adapter had: following the pool list, keeping a contact's rings until they have ended.

--- a/benchwire/benchwire_test.go
+++ b/benchwire/benchwire_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"cobaltpier/contact"
+	"cobaltpier/host"
 )
 
 // echo is a module that rings every contact at the first pool and writes down what it hears.
@@ -54,7 +55,7 @@
 	t.Helper()
 	var out bytes.Buffer
 	e := &echo{}
-	err := Serve(strings.NewReader(in), &out, func(s *contact.Settings, h contact.Host) Module {
+	err := Serve(strings.NewReader(in), &out, func(s *contact.Settings, h contact.Host) host.Module {
 		e.host, e.set, e.pools = h, s, nil
 		return e
 	})
--- a/benchwire/codec.go
+++ b/benchwire/codec.go
@@ -116,12 +116,6 @@
 	"hold_back": func(r *contact.Report, v float64) { r.Holdback = v },
 }
 
-// blank is the report that says nothing.
-func blank() contact.Report {
-	n := math.NaN()
-	return contact.Report{Agents: n, Free: n, Util: n, Queue: n, Wait: n, Rate: n, Holdback: n}
-}
-
 // report reads a load report over an older one; it tells whether a processor's figures came. Values that
 // are absent or -1 leave the older figure.
 func (l *line) report(fields []string, into *contact.Report) bool {
--- a/benchwire/host.go
+++ b/benchwire/host.go
@@ -8,61 +8,28 @@
 	"io"
 	"math"
 	"runtime/debug"
-	"sort"
 	"strconv"
 	"strings"
 
 	"cobaltpier/contact"
+	"cobaltpier/host"
 )
 
-// Module is the decision module as the host sees it.
-type Module interface {
-	// Listed says that pools were added or changed their state; those told are in the order of the list.
-	Listed(now float64, changed []*contact.Pool)
-	// Offered hands a new contact over.
-	Offered(now float64, c *contact.Contact)
-	// Stood says that a ring's contact stands.
-	Stood(now float64, r *contact.Ring)
-	// Ended says how a ring ended; closed: its contact needs no answer any more.
-	Ended(now float64, r *contact.Ring, closed bool)
-	// Left says that the caller is gone.
-	Left(now float64, c *contact.Contact)
-	// Reported says that a report came by itself or for a probe; ok: the pool answered, full: with figures.
-	Reported(now float64, p *contact.Pool, ok, full bool)
-	// Told brings another gateway's message.
-	Told(now float64, from int, data []byte)
-	// Woken calls back as asked for.
-	Woken(now float64, c *contact.Contact)
-}
-
-// Maker makes the module of one instance.
-type Maker func(*contact.Settings, contact.Host) Module
-
 // instance is one gateway: its module and the ids at its door.
 type instance struct {
 	name     string
 	out      *bufio.Writer
 	now      float64
-	mod      Module
+	mod      host.Module
 	fields   []string
-	pools    map[int64]*contact.Pool
-	ids      map[*contact.Pool]int64
-	home     map[int]*contact.Pool
-	contacts map[string]*call
+	pools    *host.Pools[int64]
+	contacts map[string]*host.Call
 	timers   map[int64]*contact.Contact
 	timer    int64
 	skills   map[string]*contact.Skill
 	payers   map[string]*contact.Customer
 }
 
-// call is a contact with its id and rings, kept until all of them have ended.
-type call struct {
-	*contact.Contact
-	id    string
-	rings []*contact.Ring
-	open  int
-}
-
 func (in *instance) act(kind string, parts ...string) {
 	in.out.WriteString(kind + "\t" + in.name)
 	for _, p := range parts {
@@ -77,35 +44,32 @@
 
 // Ring implements contact.Host.
 func (in *instance) Ring(c *contact.Contact, p *contact.Pool, limit float64) {
-	k := c.ID.(*call)
-	r := &contact.Ring{Contact: c, Pool: p, Sent: in.now, ID: len(k.rings)}
-	k.rings = append(k.rings, r)
-	k.open++
-	c.Out = r
-	in.act("try", k.id, num(in.ids[p]), ms(limit))
+	k := c.ID.(*host.Call)
+	k.Ring(p, in.now)
+	in.act("try", k.ID, num(in.pools.ID(p)), ms(limit))
 }
 
 // Defer implements contact.Host.
 func (in *instance) Defer(c *contact.Contact, wait float64) {
 	c.Over = true
-	in.act("decline", c.ID.(*call).id, ms(wait))
-	in.drop(c.ID.(*call))
+	in.act("decline", c.ID.(*host.Call).ID, ms(wait))
+	in.drop(c.ID.(*host.Call))
 }
 
 // Abandon implements contact.Host.
 func (in *instance) Abandon(c *contact.Contact) {
 	c.Over = true
-	in.act("abort", c.ID.(*call).id)
-	in.drop(c.ID.(*call))
+	in.act("abort", c.ID.(*host.Call).ID)
+	in.drop(c.ID.(*host.Call))
 }
 
 // Cancel implements contact.Host.
 func (in *instance) Cancel(r *contact.Ring) {
-	in.act("call_off", r.Contact.ID.(*call).id, num(int64(r.ID.(int))))
+	in.act("call_off", r.Contact.ID.(*host.Call).ID, num(int64(r.ID.(int))))
 }
 
 // Probe implements contact.Host.
-func (in *instance) Probe(p *contact.Pool) { in.act("ask_load", num(in.ids[p])) }
+func (in *instance) Probe(p *contact.Pool) { in.act("ask_load", num(in.pools.ID(p))) }
 
 // Tell implements contact.Host.
 func (in *instance) Tell(to int, data []byte) {
@@ -120,24 +84,24 @@
 }
 
 // drop forgets a call that has its answer and no ring out.
-func (in *instance) drop(k *call) {
-	if k.Over && k.open == 0 {
-		delete(in.contacts, k.id)
+func (in *instance) drop(k *host.Call) {
+	if k.Settled() {
+		delete(in.contacts, k.ID)
 	}
 }
 
-// host is the process: its instances and its numbered lists.
-type host struct {
+// process is the process: its instances and its numbered lists.
+type process struct {
 	out   *bufio.Writer
-	mk    Maker
+	mk    host.Maker
 	insts map[string]*instance
 	banks map[int64][][]string
 	now   float64
 }
 
 // Serve answers batches until the input ends. An error names the line and what was expected there.
-func Serve(in io.Reader, out io.Writer, mk Maker) error {
-	h := &host{out: bufio.NewWriterSize(out, 1<<16), mk: mk, insts: map[string]*instance{},
+func Serve(in io.Reader, out io.Writer, mk host.Maker) error {
+	h := &process{out: bufio.NewWriterSize(out, 1<<16), mk: mk, insts: map[string]*instance{},
 		banks: map[int64][][]string{}}
 	rd := bufio.NewReaderSize(in, 1<<20)
 	n, inside := 0, false
@@ -198,7 +162,7 @@
 }
 
 // event hands one event to its instance. A panic in the module goes out as a fault.
-func (h *host) event(l *line, text string) (err error) {
+func (h *process) event(l *line, text string) (err error) {
 	name := l.text("gatewayId")
 	if !strings.HasPrefix(name, "gateway-") && l.err == nil {
 		l.fault("gatewayId", "gateway- and a number", name)
@@ -231,7 +195,7 @@
 	return do(h, in, l)
 }
 
-func (h *host) create(l *line, name, text string) error {
+func (h *process) create(l *line, name, text string) error {
 	seed, err := strconv.ParseUint(l.text("rngSeed"), 10, 64)
 	if err != nil {
 		l.fault("rngSeed", "a whole number", fmt.Sprint(err))
@@ -246,9 +210,9 @@
 	if err != nil {
 		return fmt.Errorf("line %d: create: %w", l.n, err)
 	}
-	in := &instance{name: name, out: h.out, fields: fields, pools: map[int64]*contact.Pool{},
-		ids: map[*contact.Pool]int64{}, home: map[int]*contact.Pool{}, contacts: map[string]*call{},
-		timers: map[int64]*contact.Contact{}, skills: map[string]*contact.Skill{},
+	in := &instance{name: name, out: h.out, fields: fields, pools: host.NewPools[int64](),
+		contacts: map[string]*host.Call{},
+		timers:   map[int64]*contact.Contact{}, skills: map[string]*contact.Skill{},
 		payers: map[string]*contact.Customer{}}
 	for _, k := range set.Skills {
 		in.skills[k.Name] = k
@@ -261,16 +225,16 @@
 	return nil
 }
 
-var handlers = map[string]func(*host, *instance, *line) error{
-	"halt": func(h *host, in *instance, l *line) error {
+var handlers = map[string]func(*process, *instance, *line) error{
+	"halt": func(h *process, in *instance, l *line) error {
 		delete(h.insts, in.name)
 		return l.done()
 	},
-	"peers_known": (*host).listed,
-	"knock":       (*host).knock,
-	"under_way":   (*host).stood,
-	"outcome":     (*host).ended,
-	"lapsed": func(h *host, in *instance, l *line) error {
+	"peers_known": (*process).listed,
+	"knock":       (*process).knock,
+	"under_way":   (*process).stood,
+	"outcome":     (*process).ended,
+	"lapsed": func(h *process, in *instance, l *line) error {
 		k := in.contacts[l.text("corr")]
 		if err := l.done(); err != nil || k == nil || k.Over {
 			return err
@@ -280,7 +244,7 @@
 		in.drop(k)
 		return nil
 	},
-	"timer": func(h *host, in *instance, l *line) error {
+	"timer": func(h *process, in *instance, l *line) error {
 		id := l.whole("ctx", 0, math.MaxInt64)
 		c, ok := in.timers[id]
 		delete(in.timers, id)
@@ -290,8 +254,8 @@
 		in.mod.Woken(h.now, c)
 		return nil
 	},
-	"ping_result": func(h *host, in *instance, l *line) error {
-		p := in.pools[l.whole("switch", 0, 1<<32-1)]
+	"ping_result": func(h *process, in *instance, l *line) error {
+		p := in.pools.Pool(l.whole("switch", 0, 1<<32-1))
 		end := l.choice("disposition", ends)
 		l.num("costTime", 0)
 		if p == nil {
@@ -304,7 +268,7 @@
 		in.mod.Reported(h.now, p, end == contact.Done, full)
 		return nil
 	},
-	"memo": func(h *host, in *instance, l *line) error {
+	"memo": func(h *process, in *instance, l *line) error {
 		from, data := l.whole("who", 0, 1<<31), l.bytes("contents")
 		if err := l.done(); err != nil {
 			return err
@@ -314,7 +278,7 @@
 	},
 }
 
-func (h *host) listed(in *instance, l *line) error {
+func (h *process) listed(in *instance, l *line) error {
 	l.text("epoch")
 	bank, kind := l.num("bank", 0), l.whole("scope", 0, 3)
 	if err := l.done(); err != nil || kind == 3 {
@@ -324,49 +288,27 @@
 	if !ok {
 		return fmt.Errorf("line %d: peers_known: want the number of a roster sent before, got %v", l.n, bank)
 	}
-	var changed []*contact.Pool
-	named := map[*contact.Pool]bool{}
+	entries := make([]host.Entry[int64], 0, len(list))
 	for _, e := range list {
 		v := &line{n: l.n, kind: "entry", parts: e}
 		id := v.whole("switch", 0, 1<<32-1)
-		p := in.pools[id]
-		if p == nil {
-			p = &contact.Pool{Report: blank()}
-			in.pools[id], in.ids[p] = p, id
-		}
 		v.text("locality")
 		v.text("kind")
-		p.Number = int(v.whole("nodeNo", -1, 1<<32))
-		p.State = contact.State(v.whole("lifecycle", 0, 2))
+		number := int(v.whole("nodeNo", -1, 1<<32))
+		state := contact.State(v.whole("lifecycle", 0, 2))
 		v.num("capacityHint", 1)
-		p.Since = v.num("onlineSince", 0)
+		entries = append(entries, host.Entry[int64]{ID: id, Number: number, State: state, Since: v.num("onlineSince", 0)})
 		if err := v.done(); err != nil {
 			return err
 		}
-		named[p] = true
-		if old := in.home[p.Number]; old == nil || p.State == contact.Ready || old.State == contact.Gone {
-			in.home[p.Number] = p // of several machines with one number the latest that runs
-		}
-		changed = append(changed, p)
-	}
-	if kind != 1 { // what a whole list leaves out is gone
-		gone := make([]*contact.Pool, 0)
-		for _, p := range in.pools {
-			if !named[p] && p.State != contact.Gone {
-				p.State = contact.Gone
-				gone = append(gone, p)
-			}
-		}
-		sort.Slice(gone, func(i, j int) bool { return in.ids[gone[i]] < in.ids[gone[j]] })
-		changed = append(changed, gone...)
 	}
-	in.mod.Listed(h.now, changed)
+	in.mod.Listed(h.now, in.pools.Apply(entries, kind != 1))
 	return nil
 }
 
-func (h *host) knock(in *instance, l *line) error {
+func (h *process) knock(in *instance, l *line) error {
 	c := &contact.Contact{Came: h.now}
-	k := &call{Contact: c, id: l.text("corr")}
+	k := &host.Call{Contact: c, ID: l.text("corr")}
 	c.ID = k
 	l.num("cost", 0)
 	left := l.num("left", math.NaN())
@@ -390,25 +332,25 @@
 		c.Customer = in.payers[who]
 	}
 	c.HomeNumber = int(l.num("farEnd", -1))
-	c.Home = in.home[c.HomeNumber]
+	c.Home = in.pools.Home(c.HomeNumber)
 	if err := l.done(); err != nil {
 		return err
 	}
-	in.contacts[k.id] = k
+	in.contacts[k.ID] = k
 	in.mod.Offered(h.now, c)
 	return nil
 }
 
 // ring finds the ring that an event speaks of; nil where it ended before.
-func (in *instance) ring(l *line, id string, n int64) (*call, *contact.Ring) {
+func (in *instance) ring(l *line, id string, n int64) (*host.Call, *contact.Ring) {
 	k := in.contacts[id]
-	if k == nil || n >= int64(len(k.rings)) {
+	if k == nil || n >= int64(len(k.Rings)) {
 		return k, nil
 	}
-	return k, k.rings[n]
+	return k, k.Rings[n]
 }
 
-func (h *host) stood(in *instance, l *line) error {
+func (h *process) stood(in *instance, l *line) error {
 	id, n := l.text("corr"), l.whole("sendNo", 0, 1<<20)
 	l.whole("switch", 0, 1<<32-1)
 	cost := l.num("costTime", 0)
@@ -421,13 +363,13 @@
 	return nil
 }
 
-func (h *host) ended(in *instance, l *line) error {
+func (h *process) ended(in *instance, l *line) error {
 	id := l.text("corr")
 	l.whole("switch", 0, 1<<32-1)
 	n, cost, note := l.whole("sendNo", 0, 1<<20), l.num("costTime", 0), int64(l.num("note", 0))
 	end, closed := l.choice("disposition", ends), l.flag("finished")
 	k, r := in.ring(l, id, n)
-	into := blank()
+	into := host.Blank()
 	if r != nil {
 		into = r.Pool.Report
 	}
@@ -435,15 +377,10 @@
 	if err := l.done(); err != nil || r == nil {
 		return err
 	}
-	k.rings[n] = nil
-	k.open--
-	r.Pool.Report, r.Cost, r.End, r.Reported = into, cost, end, full
+	r.Pool.Report, r.Reported = into, full
 	r.NoAgent, r.Wait = end == contact.Full && note%16 == 1, float64(note/16)
 	r.Engaged = end == contact.Failed && note%16 == 4
-	if k.Out == r {
-		k.Out = nil
-	}
-	k.Over = k.Over || closed
+	k.End(r, end, cost, closed)
 	in.mod.Ended(h.now, r, closed)
 	in.drop(k)
 	return nil
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,10 +9,11 @@
 	"cobaltpier/benchwire"
 	"cobaltpier/brain"
 	"cobaltpier/contact"
+	"cobaltpier/host"
 )
 
 func main() {
-	err := benchwire.Serve(os.Stdin, os.Stdout, func(s *contact.Settings, h contact.Host) benchwire.Module {
+	err := benchwire.Serve(os.Stdin, os.Stdout, func(s *contact.Settings, h contact.Host) host.Module {
 		return brain.New(s, h)
 	})
 	if err != nil {
--- /dev/null
+++ b/signal/message.go
@@ -0,0 +1,161 @@
+// Package signal runs SIP transactions (RFC 3261 section 17, RFC 6026) without I/O: datagrams and the time come in,
+// datagrams go out through a function, and timers run when the time is handed in. Messages are those of the sip
+// library; the transaction machines are ours, so that the same ones run on sockets and in virtual time.
+package signal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"github.com/emiago/sipgo/sip"
+)
+
+// Header fields that the project reads by name.
+const (
+	SessionID  = "Session-ID"          // RFC 7989: one contact on all its legs
+	Reason     = "Reason"              // RFC 3326: why a call was released
+	RetryAfter = "Retry-After"         // RFC 3261 20.33
+	Service    = "P-Preferred-Service" // RFC 6050: the skill asked for
+	Load       = "Cobalt-Load"         // ours: util, queue, wait, lines, free; see docs/gateway.md
+)
+
+// Names makes the tags, branches and call ids of one process by chance from a seed and a counter.
+type Names struct {
+	Seed uint64
+	n    uint64
+}
+
+// Next is a name that this process has not used before.
+func (s *Names) Next() string {
+	var x [16]byte
+	s.n++
+	binary.LittleEndian.PutUint64(x[:8], s.Seed)
+	binary.LittleEndian.PutUint64(x[8:], s.n)
+	h := fnv.New64a()
+	h.Write(x[:])
+	return strconv.FormatUint(h.Sum64(), 36)
+}
+
+// Chance is a number from 0 to 1 by the same draw.
+func (s *Names) Chance() float64 {
+	var x [16]byte
+	s.n++
+	binary.LittleEndian.PutUint64(x[:8], s.Seed)
+	binary.LittleEndian.PutUint64(x[8:], s.n)
+	h := fnv.New64a()
+	h.Write(x[:])
+	v := h.Sum64()
+	v = (v ^ v>>33) * 0xff51afd7ed558ccd // fnv leaves a counter's last byte in the low bits: spread it
+	return float64((v^v>>33)>>11) / (1 << 53)
+}
+
+// Parse reads a datagram. A message that lacks what every message must have (RFC 3261 8.1.1) is an error, and so is
+// one that the library can't take; whatever is sent to us, Parse returns.
+func Parse(data []byte) (m sip.Message, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			m, err = nil, fmt.Errorf("parse: the library gave up: %v", p)
+		}
+	}()
+	if len(data) < 16 {
+		return nil, fmt.Errorf("parse: %d bytes are no message", len(data))
+	}
+	m, err = parser.ParseSIP(data)
+	if err != nil {
+		return nil, fmt.Errorf("parse: %w", err)
+	}
+	switch {
+	case m.Via() == nil || m.Via().Host == "":
+		return nil, fmt.Errorf("parse: want a Via")
+	case m.From() == nil || m.To() == nil:
+		return nil, fmt.Errorf("parse: want From and To")
+	case m.CallID() == nil || *m.CallID() == "":
+		return nil, fmt.Errorf("parse: want a Call-ID")
+	case m.CSeq() == nil:
+		return nil, fmt.Errorf("parse: want a CSeq")
+	}
+	if r, ok := m.(*sip.Request); ok && r.Method != r.CSeq().MethodName {
+		return nil, fmt.Errorf("parse: %s with the CSeq of %s", r.Method, r.CSeq().MethodName)
+	}
+	return m, nil
+}
+
+// parser is read only once made.
+var parser = sip.NewParser()
+
+// Field is a header field's value, "" where there is none.
+func Field(m interface{ GetHeader(string) sip.Header }, name string) string {
+	if h := m.GetHeader(name); h != nil {
+		return h.Value()
+	}
+	return ""
+}
+
+// Tag is the tag of a From or To field, "" without one.
+func Tag(p sip.HeaderParams) string {
+	t, _ := p.Get("tag")
+	return t
+}
+
+// Response makes the answer to a request (RFC 3261 8.2.6); tag is put into To where that has none yet.
+func Response(req *sip.Request, code int, reason, tag string) *sip.Response {
+	res := sip.NewResponse(code, reason)
+	for _, h := range req.GetHeaders("Via") {
+		res.AppendHeader(h)
+	}
+	res.AppendHeader(req.From())
+	to := req.To()
+	if tag != "" && !to.Params.Has("tag") {
+		to = &sip.ToHeader{DisplayName: to.DisplayName, Address: to.Address, Params: to.Params.Clone()}
+		to.Params.Add("tag", tag)
+	}
+	res.AppendHeader(to)
+	res.AppendHeader(req.CallID())
+	res.AppendHeader(req.CSeq())
+	if s := req.GetHeader(SessionID); s != nil {
+		res.AppendHeader(s)
+	}
+	return res
+}
+
+// Seconds writes a wait in milliseconds as RFC 3261 20.33 has it: whole seconds, rounded up; the exact wait stands
+// in a parameter of ours, which the grammar allows.
+func Seconds(ms float64) string {
+	s := int((ms + 999) / 1000)
+	return fmt.Sprintf("%d;ms=%d", s, int(ms+0.5))
+}
+
+// Wait reads such a field, in milliseconds; 0 where there is none or it makes no sense.
+func Wait(v string) float64 {
+	parts := strings.Split(v, ";")
+	for _, p := range parts[1:] {
+		if ms, ok := strings.CutPrefix(strings.TrimSpace(p), "ms="); ok {
+			if n, err := strconv.ParseUint(ms, 10, 31); err == nil {
+				return float64(n)
+			}
+		}
+	}
+	head, _, _ := strings.Cut(strings.TrimSpace(parts[0]), " ")
+	head, _, _ = strings.Cut(head, "(")
+	n, err := strconv.ParseUint(head, 10, 31)
+	if err != nil {
+		return 0
+	}
+	return float64(n) * 1000
+}
+
+// returnTo is where the answer to a request goes (RFC 3261 18.2.2, RFC 3581).
+func returnTo(from netip.AddrPort, via *sip.ViaHeader) netip.AddrPort {
+	if via.Params.Has("rport") {
+		return from
+	}
+	port := via.Port
+	if port == 0 {
+		port = 5060
+	}
+	return netip.AddrPortFrom(from.Addr(), uint16(port))
+}
