--- /dev/null
+++ b/conf/conf.go
@@ -0,0 +1,341 @@
+// Package conf reads HCL settings so that every fault is told with its file, its line and what was expected there.
+// Whoever reads a file asks for the values by name; what nobody asked for is refused. The first pass finds all faults.
+package conf
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/zclconf/go-cty/cty"
+)
+
+// File is one file of settings.
+type File struct {
+	diags hcl.Diagnostics
+	src   *hcl.File
+	all   []*Block
+}
+
+// Block is a block, or a file's top.
+type Block struct {
+	file   *File
+	body   *hclsyntax.Body
+	name   string
+	Labels []string
+	at     hcl.Range
+	asked  map[string]bool
+}
+
+// Required as a default says that a value must be there.
+var Required = math.NaN()
+
+// Load reads a file.
+func Load(name string) (*Block, error) {
+	src, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(name, src)
+}
+
+// Parse reads settings that are at hand; name stands in the errors.
+func Parse(name string, src []byte) (*Block, error) {
+	file, diags := hclsyntax.ParseConfig(src, name, hcl.InitialPos)
+	f := &File{diags: diags, src: file}
+	if diags.HasErrors() {
+		return nil, f.err()
+	}
+	b := &Block{file: f, body: file.Body.(*hclsyntax.Body), asked: map[string]bool{},
+		at: hcl.Range{Filename: name, Start: hcl.InitialPos, End: hcl.InitialPos}}
+	f.all = append(f.all, b)
+	return b, nil
+}
+
+func (f *File) err() error {
+	if !f.diags.HasErrors() {
+		return nil
+	}
+	var lines []string
+	for _, d := range f.diags {
+		where := ""
+		if d.Subject != nil {
+			where = fmt.Sprintf("%s:%d: ", d.Subject.Filename, d.Subject.Start.Line)
+		}
+		text := d.Summary
+		if d.Detail != "" {
+			text += ": " + d.Detail
+		}
+		lines = append(lines, where+text)
+	}
+	return fmt.Errorf("settings: %s", strings.Join(lines, "\n  "))
+}
+
+// Err tells all faults, after everything was asked for: also what nobody asked for.
+func (b *Block) Err() error {
+	f := b.file
+	for _, b := range f.all {
+		for name, a := range b.body.Attributes {
+			if !b.asked[name] {
+				b.fault(a.NameRange, "unknown key %q; known here: %s", name, b.known())
+			}
+		}
+		for _, c := range b.body.Blocks {
+			if !b.asked["{"+c.Type] {
+				b.fault(c.TypeRange, "unknown block %q; known here: %s", c.Type, b.known())
+			}
+		}
+		b.asked = map[string]bool{}
+		b.body = &hclsyntax.Body{}
+	}
+	sortDiags(f.diags)
+	return f.err()
+}
+
+func (b *Block) known() string {
+	var names []string
+	for n := range b.asked {
+		names = append(names, strings.TrimPrefix(n, "{"))
+	}
+	sortStrings(names)
+	return strings.Join(names, ", ")
+}
+
+func (b *Block) fault(at hcl.Range, format string, args ...any) {
+	b.file.diags = append(b.file.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: fmt.Sprintf(format, args...), Subject: &at})
+}
+
+// Fault adds a fault of the value of a name, or of the block where that is not there.
+func (b *Block) Fault(name, format string, args ...any) {
+	at := b.at
+	if a := b.body.Attributes[name]; a != nil {
+		at = a.Expr.Range()
+	}
+	b.fault(at, format, args...)
+}
+
+// Has tells whether a value is there.
+func (b *Block) Has(name string) bool {
+	b.asked[name] = true
+	return b.body.Attributes[name] != nil
+}
+
+func (b *Block) value(name string) (cty.Value, bool) {
+	b.asked[name] = true
+	a := b.body.Attributes[name]
+	if a == nil {
+		return cty.NilVal, false
+	}
+	v, diags := a.Expr.Value(nil)
+	b.file.diags = append(b.file.diags, diags...)
+	if diags.HasErrors() || v.IsNull() || !v.IsKnown() {
+		if !diags.HasErrors() {
+			b.Fault(name, "%s: want a value", name)
+		}
+		return cty.NilVal, false
+	}
+	return v, true
+}
+
+func (b *Block) missing(name, want string) {
+	if b.body.Attributes[name] == nil {
+		b.fault(b.at, "%s: want %s = %s", b.name, name, want)
+	}
+}
+
+// Num is a number from lo to hi; def where it is missing, and Required as def makes that a fault.
+func (b *Block) Num(name string, def, lo, hi float64) float64 {
+	v, ok := b.value(name)
+	if !ok {
+		if math.IsNaN(def) {
+			b.missing(name, fmt.Sprintf("a number from %g to %g", lo, hi))
+		}
+		return def
+	}
+	if v.Type() != cty.Number {
+		b.Fault(name, "%s: want a number from %g to %g", name, lo, hi)
+		return def
+	}
+	n, _ := v.AsBigFloat().Float64()
+	if !(n >= lo && n <= hi) {
+		b.Fault(name, "%s: want a number from %g to %g, got %g", name, lo, hi, n)
+		return def
+	}
+	return n
+}
+
+// Int is a whole number.
+func (b *Block) Int(name string, def, lo, hi int) int {
+	d := float64(def)
+	n := b.Num(name, d, float64(lo), float64(hi))
+	if n != math.Trunc(n) {
+		b.Fault(name, "%s: want a whole number, got %g", name, n)
+	}
+	return int(n)
+}
+
+// Ms is a duration such as "250ms" or "2s", as milliseconds.
+func (b *Block) Ms(name string, def, lo, hi float64) float64 {
+	v, ok := b.value(name)
+	want := fmt.Sprintf("a duration from %q to %q", text(lo), text(hi))
+	if !ok {
+		if math.IsNaN(def) {
+			b.missing(name, want)
+		}
+		return def
+	}
+	if v.Type() != cty.String {
+		b.Fault(name, "%s: want %s", name, want)
+		return def
+	}
+	d, err := time.ParseDuration(v.AsString())
+	ms := float64(d) / 1e6
+	if err != nil || ms < lo || ms > hi {
+		b.Fault(name, "%s: want %s, got %q", name, want, v.AsString())
+		return def
+	}
+	return ms
+}
+
+func text(ms float64) string { return time.Duration(ms * 1e6).String() }
+
+// Text is a string; of: the only ones that are allowed, if any are named.
+func (b *Block) Text(name, def string, of ...string) string {
+	v, ok := b.value(name)
+	if !ok {
+		return def
+	}
+	if v.Type() != cty.String {
+		b.Fault(name, "%s: want a string", name)
+		return def
+	}
+	s := v.AsString()
+	for _, o := range of {
+		if s == o {
+			return s
+		}
+	}
+	if len(of) > 0 {
+		b.Fault(name, "%s: want one of %s, got %q", name, strings.Join(of, ", "), s)
+		return def
+	}
+	return s
+}
+
+// Must is a string that has to be there and not empty.
+func (b *Block) Must(name string) string {
+	s := b.Text(name, "")
+	if s == "" {
+		if b.Has(name) {
+			b.Fault(name, "%s: want a string that is not empty", name)
+		} else {
+			b.missing(name, "a string")
+		}
+	}
+	return s
+}
+
+// Flag is true or false.
+func (b *Block) Flag(name string, def bool) bool {
+	v, ok := b.value(name)
+	if !ok {
+		return def
+	}
+	if v.Type() != cty.Bool {
+		b.Fault(name, "%s: want true or false", name)
+		return def
+	}
+	return v.True()
+}
+
+// Addr is host:port with a numeric host.
+func (b *Block) Addr(name string) netip.AddrPort {
+	s := b.Must(name)
+	if s == "" {
+		return netip.AddrPort{}
+	}
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		b.Fault(name, "%s: want an address such as \"127.0.0.1:5060\", got %q", name, s)
+	}
+	return a
+}
+
+// Texts is a list of strings.
+func (b *Block) Texts(name string) []string {
+	v, ok := b.value(name)
+	if !ok {
+		return nil
+	}
+	var of []string
+	if v.Type().IsTupleType() || v.Type().IsListType() {
+		for _, e := range v.AsValueSlice() {
+			if e.Type() != cty.String {
+				b.Fault(name, "%s: want a list of strings", name)
+				return nil
+			}
+			of = append(of, e.AsString())
+		}
+		return of
+	}
+	b.Fault(name, "%s: want a list of strings", name)
+	return nil
+}
+
+// Pair is a range [lo, hi] of numbers, or one number for both.
+func (b *Block) Pair(name string, lo, hi float64) (float64, float64) {
+	v, ok := b.value(name)
+	if !ok {
+		return lo, hi
+	}
+	nums := []cty.Value{v, v}
+	if v.Type().IsTupleType() {
+		nums = v.AsValueSlice()
+	}
+	if len(nums) != 2 || nums[0].Type() != cty.Number || nums[1].Type() != cty.Number {
+		b.Fault(name, "%s: want a number or [least, most]", name)
+		return lo, hi
+	}
+	x, _ := nums[0].AsBigFloat().Float64()
+	y, _ := nums[1].AsBigFloat().Float64()
+	if x > y {
+		b.Fault(name, "%s: want [least, most], got [%g, %g]", name, x, y)
+	}
+	return x, y
+}
+
+// Blocks are the blocks of a type, each with so many labels.
+func (b *Block) Blocks(kind string, labels int) []*Block {
+	b.asked["{"+kind] = true
+	var of []*Block
+	for _, c := range b.body.Blocks {
+		if c.Type != kind {
+			continue
+		}
+		if len(c.Labels) != labels {
+			b.fault(c.TypeRange, "%s: want %d names behind it, got %d", kind, labels, len(c.Labels))
+			continue
+		}
+		n := &Block{file: b.file, body: c.Body, name: kind, Labels: c.Labels, at: c.TypeRange, asked: map[string]bool{}}
+		b.file.all = append(b.file.all, n)
+		of = append(of, n)
+	}
+	return of
+}
+
+// One is the one block of a type; an empty one where it is missing. Two are a fault.
+func (b *Block) One(kind string) *Block {
+	of := b.Blocks(kind, 0)
+	if len(of) > 1 {
+		b.fault(of[1].at, "%s: want one such block, this is another", kind)
+	}
+	if len(of) == 0 {
+		return &Block{file: b.file, body: &hclsyntax.Body{}, name: kind, at: b.at, asked: map[string]bool{}}
+	}
+	return of[0]
+}
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,341 @@
+// Package edge is one gateway's call control without I/O: a call-stateful back-to-back user agent (RFC 3261 6) that
+// takes calls, asks the decision module about each and sets it up over trunk groups. Datagrams, lists, other gateways'
+// messages and the time come in through methods; datagrams go out through Out. It hosts the module (contact.Host) and
+// decides nothing that the module decides.
+//
+// A contact passes caller leg, intake, module, trunk leg; what comes back runs the other way. What the five rules ask
+// of the wire is kept at one place each: rule 1 in (*call).answer, rules 2, 3 and 5 in (*Edge).Ring.
+package edge
+
+import (
+	"hash/fnv"
+	"math"
+	"net/netip"
+	"slices"
+
+	"github.com/emiago/sipgo/sip"
+
+	"cobaltpier/clock"
+	"cobaltpier/contact"
+	"cobaltpier/host"
+	"cobaltpier/intake"
+	"cobaltpier/signal"
+)
+
+//tally:decisions
+
+// Out is what an edge asks of its driver.
+type Out interface {
+	// Send puts a SIP datagram on the wire.
+	Send(to netip.AddrPort, data []byte)
+	// Tell sends a message of at most 256 bytes to another gateway, by its number.
+	Tell(gateway int, data []byte)
+}
+
+// Group is a trunk group (RFC 4904) to a pool.
+type Group struct {
+	Name string // tgrp
+	Pool int    // the pool's number
+	Size int    // circuits
+	out  int    // in use by this gateway
+}
+
+// Config is what an edge is told at start.
+type Config struct {
+	Name    string // unique among the gateways; in tags and call ids
+	Self    netip.AddrPort
+	Context string // trunk-context (RFC 4904)
+	Set     *contact.Settings
+	Times   signal.Times
+	Groups  []Group
+	Default string  // the skill of a call that names none
+	Margin  float64 // ms: final answers leave so long before the caller's patience ends
+	Gate    intake.Gate
+}
+
+// Member is one line of the pool list.
+type Member struct {
+	ID     string
+	Number int
+	State  contact.State
+	Since  float64 // ms on this edge's clock; 0: long ago
+	Addr   netip.AddrPort
+}
+
+// Counts are what an edge has seen since its start.
+type Counts struct {
+	Taken, Turned, Stood, Deferred, Abandoned, Left, Rings, Overdue, Barred uint64
+}
+
+// Fate is the end of a contact, for logs.
+type Fate struct {
+	Session string
+	Skill   string
+	Answer  int // the final answer's code
+	Rings   int
+	Took    float64 // ms from its coming to its final answer
+}
+
+// Edge is one gateway.
+type Edge struct {
+	Counts Counts
+	OnFate func(Fate) // may be nil
+
+	cfg      *Config
+	out      Out
+	names    signal.Names
+	timers   clock.Queue
+	sip      *signal.Layer
+	mod      host.Module
+	pools    *host.Pools[string]
+	addrs    map[*contact.Pool]netip.AddrPort
+	groups   map[int]*Group    // by pool
+	byName   map[string]*Group // by tgrp
+	skills   map[string]*contact.Skill
+	payers   map[string]*contact.Customer
+	ends     map[string]*end // dialogs by our tag
+	waiting  []*call         // came since the last tick
+	refusals intake.Refusals
+	held     int // contacts without a final answer
+	standing int
+	closing  bool
+	now      float64
+}
+
+// New makes an edge; its module comes from mk.
+func New(cfg *Config, mk host.Maker, out Out) *Edge {
+	e := &Edge{cfg: cfg, out: out, pools: host.NewPools[string](), addrs: map[*contact.Pool]netip.AddrPort{},
+		groups: map[int]*Group{}, byName: map[string]*Group{}, skills: map[string]*contact.Skill{},
+		payers: map[string]*contact.Customer{}, ends: map[string]*end{}}
+	h := fnv.New64a()
+	h.Write([]byte(cfg.Name))
+	e.names.Seed = cfg.Set.Seed ^ h.Sum64()
+	for i := range cfg.Groups {
+		g := &cfg.Groups[i]
+		e.groups[g.Pool], e.byName[g.Name] = g, g
+	}
+	for _, k := range cfg.Set.Skills {
+		e.skills[k.Name] = k
+	}
+	for _, c := range cfg.Set.Customers {
+		e.payers[c.Name] = c
+	}
+	e.refusals.Keep = 64 * cfg.Times.T1
+	e.sip = signal.NewLayer(cfg.Self, cfg.Times, &e.names, &e.timers, e, out.Send)
+	e.mod = mk(cfg.Set, moduleHost{e})
+	return e
+}
+
+// Receive takes a datagram of the SIP socket. New contacts are offered to the module by the next Wake.
+func (e *Edge) Receive(now float64, from netip.AddrPort, data []byte) {
+	e.now = now
+	e.sip.Receive(now, from, data)
+}
+
+// Peer takes another gateway's message.
+func (e *Edge) Peer(now float64, from int, data []byte) {
+	e.now, e.sip.Now = now, now
+	if len(data) <= 256 && from >= 0 && from < e.cfg.Set.Gateways && from != e.cfg.Set.Me {
+		e.mod.Told(now, from, data)
+	}
+}
+
+// Listed takes a pool list, whole or of changes only. What it says of a pool counts from now on (rule 3): set-ups to a
+// pool that drains or is gone are not repeated any more.
+func (e *Edge) Listed(now float64, list []Member, whole bool) {
+	e.now, e.sip.Now = now, now
+	entries := make([]host.Entry[string], len(list))
+	for i, m := range list {
+		entries[i] = host.Entry[string]{ID: m.ID, Number: m.Number, State: m.State, Since: m.Since}
+	}
+	changed := e.pools.Apply(entries, whole)
+	for _, m := range list {
+		p := e.pools.Pool(m.ID)
+		if _, known := e.addrs[p]; !known {
+			if g := e.groups[p.Number]; g != nil {
+				p.Report.Agents, p.Report.Free = float64(g.Size), float64(g.Size)
+			}
+		}
+		e.addrs[p] = m.Addr
+	}
+	for _, p := range changed {
+		if p.State != contact.Ready {
+			for _, d := range e.ends {
+				if d.leg != nil && d.leg.ring.Pool == p && !d.leg.tx.Heard() {
+					d.leg.tx.Quiet()
+				}
+			}
+		}
+	}
+	e.mod.Listed(now, changed)
+}
+
+// Wake ends a batch: timers that are due run, then what came is offered to the module.
+func (e *Edge) Wake(now float64) {
+	e.now, e.sip.Now = now, now
+	e.timers.Run(now)
+	if len(e.waiting) == 0 {
+		return
+	}
+	batch := e.waiting
+	e.waiting = nil
+	values := make([]float64, len(batch))
+	for i, k := range batch {
+		values[i] = k.Skill.Value
+	}
+	for i, ok := range e.cfg.Gate.Take(now, values, e.held) {
+		if k := batch[i]; !ok {
+			e.turn(k)
+		} else if !k.Over {
+			e.take(k)
+		}
+	}
+}
+
+// Next is when Wake is wanted, on the clock that was handed in.
+func (e *Edge) Next() float64 {
+	if len(e.waiting) > 0 {
+		return e.now
+	}
+	return e.timers.Next()
+}
+
+// Close lets no new contact in; those held go on.
+func (e *Edge) Close() { e.closing = true }
+
+// Held is how many contacts have no final answer yet, and how many stand.
+func (e *Edge) Held() (waiting, standing int) { return e.held + len(e.waiting), e.standing }
+
+// Release ends all standing calls.
+func (e *Edge) Release(now float64) {
+	e.now, e.sip.Now = now, now
+	var tags []string
+	for tag, d := range e.ends {
+		if d.leg == nil {
+			tags = append(tags, tag)
+		}
+	}
+	slices.Sort(tags)
+	for _, tag := range tags {
+		if d := e.ends[tag]; d != nil {
+			d.call.release(contact.Reset, cutReason)
+		}
+	}
+}
+
+// Open is how much the edge holds: dialogs, transactions and timers.
+func (e *Edge) Open() (dialogs, transactions, timers int) {
+	c, s := e.sip.Open()
+	return len(e.ends), c + s, e.timers.Len()
+}
+
+// Ring implements contact.Host: rules 2, 3 and 5 are the module's to keep, and whatever it asks, nothing that breaks
+// one of them passes here. What is barred comes back as never sent.
+func (e *Edge) Ring(c *contact.Contact, p *contact.Pool, limit float64) {
+	k := c.ID.(*call)
+	barred := k.trunk != nil || k.Over || e.now < c.NotTill || p.State != contact.Ready || e.now > c.Until
+	r := k.Ring(p, e.now)
+	e.Counts.Rings++
+	g := e.groups[p.Number]
+	if barred {
+		e.Counts.Barred++
+	}
+	if barred || g == nil || g.out >= g.Size {
+		e.timers.Set(e.now, func() { e.ended(k, r, contact.Unsent, false) })
+		return
+	}
+	k.dial(r, g, math.Min(limit, c.Until-e.now))
+}
+
+// Defer implements contact.Host.
+func (e *Edge) Defer(c *contact.Contact, wait float64) {
+	k := c.ID.(*call)
+	e.Counts.Deferred++
+	res := signal.Response(k.req, 503, "Service Unavailable", k.tag)
+	if wait > 0 && e.cfg.Set.MayWait {
+		res.AppendHeader(sip.NewHeader(signal.RetryAfter, signal.Seconds(wait)))
+	}
+	k.answer(res)
+}
+
+// Abandon implements contact.Host.
+func (e *Edge) Abandon(c *contact.Contact) {
+	k := c.ID.(*call)
+	e.Counts.Abandoned++
+	k.answer(signal.Response(k.req, 500, "Server Internal Error", k.tag))
+}
+
+// Cancel implements contact.Host. The ring's end comes when the switch has said how it ended: until then it is out.
+func (e *Edge) Cancel(r *contact.Ring) {
+	if k := r.Contact.ID.(*call); k.trunk != nil && k.trunk.ring == r && !k.Stands {
+		k.trunk.cancel()
+	}
+}
+
+// Probe implements contact.Host: OPTIONS (RFC 3261 11).
+func (e *Edge) Probe(p *contact.Pool) {
+	to := e.addrs[p]
+	req := sip.NewRequest(sip.OPTIONS, sip.Uri{Scheme: "sip", Host: to.Addr().String(), Port: int(to.Port())})
+	e.common(req, &sip.FromHeader{Address: e.uri(""), Params: sip.HeaderParams{{K: "tag", V: e.names.Next()}}},
+		&sip.ToHeader{Address: req.Recipient}, e.names.Next()+"@"+e.cfg.Name, 1)
+	e.sip.Ask(req, to, oc, func(res *sip.Response) {
+		full := res != nil && e.report(p, res)
+		e.mod.Reported(e.now, p, res != nil && res.StatusCode < 300, full)
+	})
+}
+
+// Tell implements contact.Host.
+func (e *Edge) Tell(to int, data []byte) { e.out.Tell(to, data) }
+
+// moduleHost is the edge as the module sees it: Wake means something else there.
+type moduleHost struct{ *Edge }
+
+// Wake implements contact.Host.
+func (h moduleHost) Wake(at float64, c *contact.Contact) {
+	e := h.Edge
+	e.timers.Set(at, func() { e.mod.Woken(e.now, c) })
+}
+
+// Asked implements signal.User.
+func (e *Edge) Asked(s *signal.Server, req *sip.Request) {
+	e.now = e.sip.Now
+	tag := signal.Tag(req.To().Params)
+	d := e.ends[tag]
+	if d != nil && d.callID != string(*req.CallID()) {
+		d = nil
+	}
+	switch {
+	case req.Method == sip.INVITE && tag == "":
+		e.invited(s, req)
+	case req.Method == sip.OPTIONS && tag == "":
+		s.Respond(signal.Response(req, 200, "OK", e.names.Next()))
+	case tag != "" && d == nil:
+		s.Respond(signal.Response(req, 481, "Call/Transaction Does Not Exist", ""))
+	case req.Method == sip.BYE && d != nil:
+		s.Respond(signal.Response(req, 200, "OK", ""))
+		d.bye(req)
+	case req.Method == sip.INVITE:
+		s.Respond(signal.Response(req, 488, "Not Acceptable Here", "")) // the call goes on as it is
+	case req.Method == sip.OPTIONS:
+		s.Respond(signal.Response(req, 200, "OK", ""))
+	default:
+		res := signal.Response(req, 405, "Method Not Allowed", e.names.Next())
+		res.AppendHeader(sip.NewHeader("Allow", "INVITE, ACK, CANCEL, BYE, OPTIONS"))
+		s.Respond(res)
+	}
+}
+
+// uri is this edge's own.
+func (e *Edge) uri(user string) sip.Uri {
+	return sip.Uri{Scheme: "sip", User: user, Host: e.cfg.Self.Addr().String(), Port: int(e.cfg.Self.Port())}
+}
+
+// common gives a request the fields that all have (RFC 3261 8.1.1), without its Via.
+func (e *Edge) common(req *sip.Request, from *sip.FromHeader, to *sip.ToHeader, callID string, seq uint32) {
+	id := sip.CallIDHeader(callID)
+	req.AppendHeader(from)
+	req.AppendHeader(to)
+	req.AppendHeader(&id)
+	req.AppendHeader(&sip.CSeqHeader{SeqNo: seq, MethodName: req.Method})
+	req.AppendHeader(sip.NewHeader("Max-Forwards", "70"))
+}
--- /dev/null
+++ b/edge/load.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"math"
+	"strconv"
+	"strings"
+
+	"github.com/emiago/sipgo/sip"
+
+	"cobaltpier/contact"
+	"cobaltpier/signal"
+)
+
+// fields of our load header and where their values go; times are milliseconds.
+var fields = map[string]func(*contact.Report, float64){
+	"util":  func(r *contact.Report, v float64) { r.Util = v },
+	"queue": func(r *contact.Report, v float64) { r.Queue = v },
+	"wait":  func(r *contact.Report, v float64) { r.Wait = v },
+	"lines": func(r *contact.Report, v float64) { r.Agents = v },
+	"free":  func(r *contact.Report, v float64) { r.Free = v },
+}
+
+// report reads what an answer says of a pool's load: overload control in our own Via (RFC 7339 4, RFC 7415 3) and the
+// load header. It tells whether figures of the processor came. What makes no sense is passed over.
+func (e *Edge) report(p *contact.Pool, res *sip.Response) bool {
+	full := false
+	if via := res.Via(); via != nil {
+		v, _ := via.Params.Get("oc")
+		algo, _ := via.Params.Get("oc-algo")
+		validity, stated := via.Params.Get("oc-validity")
+		if n, ok := figure(v); ok && !(stated && validity == "0") { // 0: control has ended (RFC 7339 4.3)
+			switch strings.Trim(algo, `"`) {
+			case "loss":
+				p.Report.Holdback, full = min(1, n/100), true
+			case "rate": // what this client may send; the module wants what all may
+				p.Report.Rate, full = n*float64(max(1, e.cfg.Set.Gateways)), true
+			}
+		}
+	}
+	for f := range strings.SplitSeq(signal.Field(res, signal.Load), ";") {
+		k, v, _ := strings.Cut(strings.TrimSpace(f), "=")
+		n, ok := figure(v)
+		if set := fields[k]; set != nil && ok {
+			set(&p.Report, n)
+			full = full || k != "lines" && k != "free"
+		}
+	}
+	return full
+}
+
+// figure reads a number from 0 up.
+func figure(s string) (float64, bool) {
+	n, err := strconv.ParseFloat(s, 64)
+	return n, err == nil && n >= 0 && !math.IsInf(n, 0)
+}
--- /dev/null
+++ b/edge/trunk.go
@@ -0,0 +1,210 @@
+package edge
+
+import (
+	"net/netip"
+
+	"github.com/emiago/sipgo/sip"
+
+	"cobaltpier/clock"
+	"cobaltpier/contact"
+	"cobaltpier/signal"
+)
+
+// oc says in a Via which kinds of overload control this edge heeds (RFC 7339 4.1, RFC 7415).
+var oc = sip.HeaderParams{{K: "oc"}, {K: "oc-algo", V: `"loss,rate"`}}
+
+// leg is one ring on the wire. It outlives the ring where the switch may still think that the call goes on.
+type leg struct {
+	call   *call
+	ring   *contact.Ring
+	group  *Group
+	to     netip.AddrPort
+	tx     *signal.Client
+	end    *end
+	limit  *clock.Timer
+	req    *sip.Request
+	remote *sip.Response // the 2xx that set the dialog up
+	ack    []byte
+	wanted bool // false: the caller or the module does not want it any more
+	told   bool // the module knows the ring's end
+	closed bool // the other side released it
+	freed  bool // its circuit is free
+}
+
+// dial sends a set-up over a trunk group and gives up after limit ms.
+func (k *call) dial(r *contact.Ring, g *Group, limit float64) {
+	e := k.edge
+	to := e.addrs[r.Pool]
+	l := &leg{call: k, ring: r, group: g, to: to, wanted: true}
+	tag, id := e.names.Next(), e.names.Next()+"@"+e.cfg.Name
+	l.end = &end{edge: e, call: k, leg: l, callID: id, tag: tag}
+	e.ends[tag] = l.end
+	g.out++
+	k.trunk = l
+	l.req = sip.NewRequest(sip.INVITE, sip.Uri{Scheme: "sip", Host: to.Addr().String(), Port: int(to.Port()),
+		User: k.Number + ";tgrp=" + g.Name + ";trunk-context=" + e.cfg.Context})
+	e.common(l.req, &sip.FromHeader{Address: sip.Uri{Scheme: "sip", User: "anonymous", Host: k.payer},
+		Params: sip.HeaderParams{{K: "tag", V: tag}}},
+		&sip.ToHeader{Address: sip.Uri{Scheme: "sip", User: k.Number, Host: to.Addr().String(), Port: int(to.Port())}}, id, 1)
+	l.req.AppendHeader(&sip.ContactHeader{Address: e.uri("")})
+	l.req.AppendHeader(sip.NewHeader(signal.SessionID, signal.SessionValue(k.session)))
+	l.req.AppendHeader(sip.NewHeader(signal.Service, servicePrefix+k.Skill.Name))
+	copyBody(k.req, l.req)
+	l.tx = e.sip.Ask(l.req, to, oc, l.heard)
+	l.limit = e.timers.Set(e.now+limit, l.late)
+}
+
+// late: no answer in time. The module hears at once, for the caller's answer is due; the switch hears when it may.
+func (l *leg) late() {
+	l.cancel()
+	if !l.tx.Heard() {
+		l.tx.Quiet()
+	}
+	l.tell(contact.TimedOut)
+}
+
+// cancel calls the set-up off. Where no provisional answer came yet RFC 3261 9.1 forbids the CANCEL: it follows the
+// first one, and till then the ring is out. Rule 1: of a contact that has its answer nothing is repeated either.
+func (l *leg) cancel() {
+	l.wanted = false
+	if !l.tx.Cancel() && l.call.Over && !l.tx.Heard() {
+		l.tx.Quiet()
+	}
+}
+
+// heard takes an answer of the switch; nil: none came for so long that none will.
+func (l *leg) heard(res *sip.Response) {
+	k := l.call
+	e := k.edge
+	e.now = e.sip.Now
+	if res == nil {
+		if l.wanted || k.Over {
+			l.tell(contact.TimedOut)
+		} else {
+			l.tell(contact.Cancelled)
+		}
+		l.forget()
+		return
+	}
+	full := e.report(l.ring.Pool, res)
+	code := res.StatusCode
+	switch {
+	case code < 200:
+		if full {
+			e.mod.Reported(e.now, l.ring.Pool, true, true)
+		}
+		if !l.wanted {
+			l.tx.Cancel()
+		} else if code > 100 {
+			k.ringing()
+		}
+	case code < 300 && l.remote != nil:
+		if signal.Tag(res.To().Params) == signal.Tag(l.remote.To().Params) {
+			e.out.Send(l.to, l.ack) // a repeat
+		} else {
+			l.shut(res) // another branch's
+		}
+	case code < 300:
+		l.remote = res
+		l.ack = l.acknowledge(res)
+		if full {
+			e.mod.Reported(e.now, l.ring.Pool, true, true)
+		}
+		if !l.wanted || l.told || k.Over { // it crossed our giving up: nobody is there for it
+			l.bye(plainReason)
+			l.tell(contact.Cancelled)
+			l.forget()
+			return
+		}
+		e.timers.Stop(l.limit)
+		l.ring.Cost = e.now - l.ring.Sent
+		k.stands(res)
+		e.mod.Stood(e.now, l.ring)
+	default:
+		l.ring.Wait = 0
+		how := contact.Failed
+		switch code {
+		case 503: // the processor is too busy
+			how, l.ring.Wait = contact.Full, signal.Wait(signal.Field(res, signal.RetryAfter))
+		case 486: // no line free at this pool
+			how, l.ring.NoAgent = contact.Full, true
+		case 600: // all lines of the number are busy, at any pool
+			l.ring.Engaged = true
+		case 487:
+			how = contact.Cancelled
+		case 408:
+			how = contact.TimedOut
+		}
+		l.ring.Reported = full
+		l.tell(how)
+		l.forget()
+	}
+}
+
+// tell tells the module how the ring ended, once, and frees the circuit where nothing is left of it.
+func (l *leg) tell(how contact.End) {
+	if l.told {
+		return
+	}
+	l.told = true
+	k := l.call
+	k.edge.timers.Stop(l.limit)
+	if k.trunk == l {
+		k.trunk = nil
+	}
+	k.edge.ended(k, l.ring, how, k.Over)
+}
+
+// ended notes a ring's end and tells the module.
+func (e *Edge) ended(k *call, r *contact.Ring, how contact.End, closed bool) {
+	if k.Call.Rings[r.ID.(int)] == nil {
+		return
+	}
+	k.End(r, how, e.now-r.Sent, closed || k.Over)
+	e.mod.Ended(e.now, r, k.Over)
+}
+
+// forget lets go of the leg's dialog and circuit.
+func (l *leg) forget() {
+	e := l.call.edge
+	delete(e.ends, l.end.tag)
+	e.timers.Stop(l.limit)
+	if !l.freed {
+		l.freed = true
+		l.group.out--
+	}
+}
+
+// inDialog makes a request in the dialog that an answer set up.
+func (l *leg) inDialog(method sip.RequestMethod, res *sip.Response, seq uint32) *sip.Request {
+	target := l.req.Recipient
+	if c := res.Contact(); c != nil {
+		target = c.Address // the datagram goes where the set-up went, whatever stands here
+	}
+	req := sip.NewRequest(method, target)
+	l.call.edge.common(req, l.req.From(), res.To(), l.end.callID, seq)
+	return req
+}
+
+// acknowledge sends the ACK of a 2xx (RFC 3261 13.2.2.4) and returns it for repeats.
+func (l *leg) acknowledge(res *sip.Response) []byte {
+	e := l.call.edge
+	req := l.inDialog(sip.ACK, res, 1)
+	req.AppendHeader(sip.NewHeader(signal.SessionID, signal.SessionValue(l.call.session)))
+	return e.sip.Ack(req, l.to)
+}
+
+// bye releases the dialog.
+func (l *leg) bye(why string) {
+	req := l.inDialog(sip.BYE, l.remote, 2)
+	l.call.edge.bye(req, l.call, why)
+	l.call.edge.sip.Ask(req, l.to, nil, func(*sip.Response) {})
+}
+
+// shut acknowledges and releases a second answer of a set-up that was forked on its way (RFC 3261 13.2.2.4).
+func (l *leg) shut(res *sip.Response) {
+	l.acknowledge(res)
+	req := l.inDialog(sip.BYE, res, 2)
+	l.call.edge.bye(req, l.call, plainReason)
+	l.call.edge.sip.Ask(req, l.to, nil, func(*sip.Response) {})
+}
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,105 @@
+// Package intake decides which of the contacts that come in at once a gateway takes when it can't take all: it guards
+// the gateway's own memory and processor against any flood, whatever its cause. It knows no wire and no clock.
+//
+// What it turns away is answered at once. Everything that it takes is the decision module's.
+package intake
+
+import (
+	"math"
+	"slices"
+)
+
+//tally:decisions
+
+const (
+	reserve = 0.1     // of the room: kept for contacts worth more than the mean
+	span    = 10000.0 // ms: the mean worth fades like this
+	memory  = 1 << 18 // refusals remembered in one generation: bounds the memory of a flood
+)
+
+// Gate is the bound of one gateway.
+type Gate struct {
+	Most     int // contacts held at once
+	PerBatch int // contacts taken of one batch; 0: any number
+	worth    float64
+	count    float64
+	at       float64
+}
+
+// Take says which of the contacts that came since the last tick are taken, by their values in the order of their
+// coming, with so many held already. The most valuable go first, and of equals the earlier.
+//
+// The last tenth of the room is for contacts worth more than the mean of late: else a flood of cheap ones that came
+// a tick earlier would shut out what matters. Where all are worth the same the tenth is open to all.
+func (g *Gate) Take(now float64, values []float64, held int) []bool {
+	fade := math.Exp(math.Min(0, g.at-now) / span)
+	g.worth, g.count, g.at = g.worth*fade, g.count*fade, now
+	flat := true
+	for _, v := range values {
+		g.worth += v
+		g.count++
+		flat = flat && v == values[0]
+	}
+	mean := g.worth / math.Max(1, g.count)
+	flat = flat && (len(values) == 0 || math.Abs(values[0]-mean) < 1e-9)
+	order := make([]int, len(values))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch {
+		case values[a] > values[b]:
+			return -1
+		case values[a] < values[b]:
+			return 1
+		}
+		return 0
+	})
+	taken, n := make([]bool, len(values)), 0
+	for _, i := range order {
+		room := float64(g.Most)
+		if !flat && values[i] <= mean {
+			room *= 1 - reserve
+		}
+		if float64(held+n) >= room || g.PerBatch > 0 && n >= g.PerBatch {
+			continue
+		}
+		taken[i] = true
+		n++
+	}
+	return taken
+}
+
+// Refusals remembers what was turned away, in bounded memory: a repeat of it must get the same answer, for to take it
+// then would give its caller two. Two generations are kept, each for as long as a repeat may come.
+type Refusals struct {
+	Keep     float64 // ms: no repeat comes later
+	new, old map[uint64]struct{}
+	since    float64
+}
+
+// Add notes a refusal by the hash of its transaction.
+func (r *Refusals) Add(now float64, key uint64) {
+	r.turn(now)
+	if r.new == nil || len(r.new) >= memory {
+		r.old, r.new, r.since = r.new, map[uint64]struct{}{}, now
+	}
+	r.new[key] = struct{}{}
+}
+
+// Known tells whether a refusal is remembered.
+func (r *Refusals) Known(now float64, key uint64) bool {
+	r.turn(now)
+	_, a := r.new[key]
+	_, b := r.old[key]
+	return a || b
+}
+
+// Len is how many are remembered.
+func (r *Refusals) Len() int { return len(r.new) + len(r.old) }
+
+func (r *Refusals) turn(now float64) {
+	if now-r.since > r.Keep {
+		r.old, r.new, r.since = r.new, nil, now
+	}
+}
--- /dev/null
+++ b/lab/caller/caller.go
@@ -0,0 +1,287 @@
+// Package caller is a stand-in for the callers of one gateway: SIP user agents that come at planned times, wait as long
+// as their patience lasts, hang up when they are done, and dial again by themselves. Arrivals are planned ahead and do
+// not wait for answers. No I/O, no clock.
+package caller
+
+//tally:standin
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+
+	"github.com/emiago/sipgo/sip"
+
+	"cobaltpier/clock"
+	"cobaltpier/signal"
+)
+
+// Arrival is a caller's plan; times are milliseconds.
+type Arrival struct {
+	At       float64
+	Number   string
+	Skill    string
+	Customer string // domain of the caller's address
+	Group    string // trunk group of the destination (RFC 4904)
+	Hold     float64
+	Target   float64
+	Patience float64 // over all tries
+	Try      float64 // of one try
+	Value    float64
+	Late     float64 // share of the value after the target
+	Over     bool    // beyond its customer's share
+}
+
+// Story is what became of a caller, over all its tries.
+type Story struct {
+	*Arrival
+	Tries   int
+	StoodAt float64 // NaN: never
+	Cut     bool
+	Answers []int // the final answers, 0: none came
+	Ended   bool
+	Session string // of the latest try
+}
+
+// Manners are how callers behave.
+type Manners struct {
+	Redials int     // at most
+	Pause   float64 // before a redial, ms
+	Grows   bool    // each pause twice as long
+	Honour  float64 // share that heeds Retry-After
+	MaxWait float64 // but no longer than this
+	Context string  // trunk-context
+	Silence float64 // a caller hears for so long that the line is dead, then hangs up
+}
+
+// Callers are those of one gateway.
+type Callers struct {
+	Manners
+	Stories []*Story
+	Extra   int // final answers after the final answer
+	edge    netip.AddrPort
+	now     float64
+	names   signal.Names
+	timers  clock.Queue
+	sip     *signal.Layer
+	open    map[string]*try // by our tag
+	bySess  map[string]*try
+}
+
+type try struct {
+	of      *Callers
+	story   *Story
+	tx      *signal.Client
+	callID  string
+	tag     string
+	session string
+	answer  *sip.Response
+	ack     []byte
+	stands  bool
+	over    bool
+	timer   *clock.Timer
+}
+
+// New makes callers that dial an edge.
+func New(m Manners, self, edge netip.AddrPort, times signal.Times, seed uint64, send func(netip.AddrPort, []byte)) *Callers {
+	c := &Callers{Manners: m, edge: edge, open: map[string]*try{}, bySess: map[string]*try{}}
+	c.names.Seed = seed
+	c.sip = signal.NewLayer(self, times, &c.names, &c.timers, c, send)
+	return c
+}
+
+// Plan adds an arrival.
+func (c *Callers) Plan(a *Arrival) {
+	s := &Story{Arrival: a, StoodAt: math.NaN()}
+	c.Stories = append(c.Stories, s)
+	c.timers.Set(a.At, func() { c.dial(s) })
+}
+
+// Receive takes a datagram.
+func (c *Callers) Receive(now float64, from netip.AddrPort, data []byte) {
+	c.now = now
+	c.sip.Receive(now, from, data)
+}
+
+// Wake runs what is due.
+func (c *Callers) Wake(now float64) {
+	c.now, c.sip.Now = now, now
+	c.timers.Run(now)
+}
+
+// Next is when Wake is wanted.
+func (c *Callers) Next() float64 { return c.timers.Next() }
+
+func (c *Callers) uri() sip.Uri {
+	return sip.Uri{Scheme: "sip", Host: c.sip.Self.Addr().String(), Port: int(c.sip.Self.Port())}
+}
+
+func (c *Callers) request(t *try, method sip.RequestMethod, seq uint32) *sip.Request {
+	a := t.story.Arrival
+	to := sip.Uri{Scheme: "sip", User: a.Number, Host: c.edge.Addr().String(), Port: int(c.edge.Port())}
+	target := to
+	if a.Group != "" {
+		target.User += ";tgrp=" + a.Group + ";trunk-context=" + c.Context
+	}
+	r := sip.NewRequest(method, target)
+	id := sip.CallIDHeader(t.callID)
+	r.AppendHeader(&sip.FromHeader{Address: sip.Uri{Scheme: "sip", User: "staff", Host: a.Customer},
+		Params: sip.HeaderParams{{K: "tag", V: t.tag}}})
+	th := &sip.ToHeader{Address: to}
+	if t.answer != nil {
+		th.Params = t.answer.To().Params
+	}
+	r.AppendHeader(th)
+	r.AppendHeader(&id)
+	r.AppendHeader(&sip.CSeqHeader{SeqNo: seq, MethodName: method})
+	r.AppendHeader(sip.NewHeader("Max-Forwards", "70"))
+	r.AppendHeader(sip.NewHeader(signal.SessionID, signal.SessionValue(t.session)))
+	return r
+}
+
+const body = "v=0\r\no=- 0 0 IN IP4 127.0.0.1\r\ns=-\r\nc=IN IP4 127.0.0.1\r\nt=0 0\r\nm=audio 49170 RTP/AVP 0\r\n"
+
+func (c *Callers) dial(s *Story) {
+	left := s.At + s.Patience - c.now
+	if left < 1000 {
+		c.end(s)
+		return
+	}
+	wait := math.Floor(math.Min(left, s.Try)/1000) * 1000 // Expires counts whole seconds
+	s.Tries++
+	t := &try{of: c, story: s, callID: c.names.Next() + "@caller", tag: c.names.Next(), session: signal.NewSession(&c.names)}
+	s.Session = t.session
+	c.open[t.tag], c.bySess[t.session] = t, t
+	r := c.request(t, sip.INVITE, 1)
+	r.AppendHeader(&sip.ContactHeader{Address: c.uri()})
+	r.AppendHeader(sip.NewHeader(signal.Service, "urn:urn-7:"+s.Skill))
+	r.AppendHeader(sip.NewHeader("Expires", fmt.Sprint(int(wait/1000))))
+	r.AppendHeader(sip.NewHeader("Content-Type", "application/sdp"))
+	r.SetBody([]byte(body))
+	t.timer = c.timers.Set(c.now+wait, t.giveUp)
+	t.tx = c.sip.Ask(r, c.edge, sip.HeaderParams{{K: "rport"}}, t.heard)
+}
+
+// giveUp: the patience of this try is over.
+func (t *try) giveUp() {
+	if t.over || t.stands {
+		return
+	}
+	t.tx.Cancel()
+	t.story.Answers = append(t.story.Answers, 0)
+	t.done()
+	t.of.again(t.story, 0)
+}
+
+func (t *try) done() {
+	t.over = true
+	t.of.timers.Stop(t.timer)
+	delete(t.of.bySess, t.session)
+}
+
+func (t *try) heard(res *sip.Response) {
+	c := t.of
+	c.now = c.sip.Now
+	switch {
+	case res == nil:
+		if !t.over {
+			t.story.Answers = append(t.story.Answers, 0)
+			t.done()
+			c.again(t.story, 0)
+		}
+	case res.StatusCode < 200:
+	case res.StatusCode < 300 && t.ack != nil:
+		c.sip.Ack(t.acknowledgement(), c.edge)
+	case res.StatusCode < 300:
+		t.answer = res
+		t.ack = c.sip.Ack(t.acknowledgement(), c.edge)
+		if t.over { // it crossed our CANCEL
+			t.bye(`Q.850;cause=16`)
+			return
+		}
+		t.stands = true
+		c.timers.Stop(t.timer)
+		t.story.Answers = append(t.story.Answers, res.StatusCode)
+		t.story.StoodAt = c.now
+		t.timer = c.timers.Set(c.now+t.story.Hold, func() {
+			t.bye(`Q.850;cause=16`)
+			c.end(t.story)
+		})
+	case t.over:
+		if res.StatusCode != 487 {
+			c.Extra++
+		}
+	default:
+		t.story.Answers = append(t.story.Answers, res.StatusCode)
+		t.done()
+		delete(c.open, t.tag)
+		c.again(t.story, signal.Wait(signal.Field(res, signal.RetryAfter)))
+	}
+}
+
+func (t *try) acknowledgement() *sip.Request { return t.of.request(t, sip.ACK, 1) }
+
+func (t *try) bye(why string) {
+	c := t.of
+	t.done()
+	delete(c.open, t.tag)
+	r := c.request(t, sip.BYE, 2)
+	r.AppendHeader(sip.NewHeader(signal.Reason, why))
+	c.sip.Ask(r, c.edge, sip.HeaderParams{{K: "rport"}}, func(*sip.Response) {})
+}
+
+// again dials once more after a pause, or not.
+func (c *Callers) again(s *Story, told float64) {
+	if s.Tries > c.Redials {
+		c.end(s)
+		return
+	}
+	pause := c.Pause
+	if c.Grows {
+		pause *= math.Pow(2, float64(s.Tries-1))
+	}
+	pause *= 0.5 + c.names.Chance()
+	if told > 0 && c.names.Chance() < c.Honour {
+		pause = math.Min(told, c.MaxWait)
+	}
+	c.timers.Set(c.now+pause, func() { c.dial(s) })
+}
+
+func (c *Callers) end(s *Story) { s.Ended = true }
+
+// Cut tells a caller that its line went dead: it hangs up after a while.
+func (c *Callers) Cut(now float64, session string) {
+	t := c.bySess[session]
+	if t == nil || !t.stands || t.over {
+		return
+	}
+	t.story.Cut = true
+	c.timers.Set(now+c.Silence, func() {
+		if !t.over {
+			t.bye(`Q.850;cause=41;text="Temporary failure"`)
+			c.end(t.story)
+		}
+	})
+}
+
+// Asked implements signal.User: the other side hangs up.
+func (c *Callers) Asked(s *signal.Server, req *sip.Request) {
+	t := c.open[signal.Tag(req.To().Params)]
+	if t == nil || req.Method != sip.BYE {
+		s.Respond(signal.Response(req, 481, "Call/Transaction Does Not Exist", c.names.Next()))
+		return
+	}
+	s.Respond(signal.Response(req, 200, "OK", ""))
+	if t.stands && !t.over {
+		t.story.Cut = true // whoever hung up, it was not the caller
+		t.done()
+		c.end(t.story)
+	}
+	delete(c.open, t.tag)
+}
+
+// CalledOff implements signal.User.
+func (c *Callers) CalledOff(*signal.Server, *sip.Request) {}
+
+// Acked implements signal.User.
+func (c *Callers) Acked(*sip.Request) {}
--- /dev/null
+++ b/lab/script/script.go
@@ -0,0 +1,189 @@
+// Package script reads a day: how many gateways and switches, what calls come, and what goes wrong when.
+package script
+
+//tally:standin
+
+import (
+	"strings"
+
+	"cobaltpier/conf"
+	"cobaltpier/lab/core"
+	"cobaltpier/signal"
+)
+
+// Script is a day. Times are milliseconds.
+type Script struct {
+	Name     string
+	Seed     uint64
+	Length   float64
+	Regions  []string
+	Gateways Gateways
+	Rules    Rules
+	Net      Net
+	Skills   []Skill
+	Payers   []Payer
+	Pools    Pools
+	Load     Load
+	Callers  Callers
+	List     List
+	Troubles []Trouble
+}
+
+// Gateways are the edges.
+type Gateways struct {
+	Count, Held, PerBatch, MaxRings, MaxWait int
+	Tick, Margin                             float64
+	Cancel, Tell, Probe, NameWait            bool
+}
+
+// Rules are the five rules' figures.
+type Rules struct{ Slack, Grace, Clear, ColdShare, WarmWithin, TipTimes, TipWindow float64 }
+
+// Net is the wire.
+type Net struct{ Same, Cross, Caller, Peer, Jitter, Loss, Double, PeerLoss float64 }
+
+// Skill is a class of contacts.
+type Skill struct {
+	Name                                            string
+	Share, Target, Patience, Try, Value, Late, Hold float64
+}
+
+// Payer is a customer.
+type Payer struct {
+	Name  string
+	Share float64
+}
+
+// Pools are the switches.
+type Pools struct {
+	Count  int
+	Spread float64 // their sizes differ by this part, up or down
+	Model  core.Model
+}
+
+// Load is what comes.
+type Load struct {
+	Rate     float64 // contacts a second at all gateways
+	Drift    float64 // destinations change after so long
+	Skew     float64 // 0: all destinations alike
+	Numbers  int     // numbers that are called
+	OverPart float64
+}
+
+// Callers are how they behave.
+type Callers struct {
+	Redials int
+	Pause   float64
+	Grows   bool
+	Honour  float64
+	MaxWait float64
+	Silence float64
+}
+
+// List is the pool list's lateness.
+type List struct{ NoticeLo, NoticeHi, SilentLo, SilentHi, AddLo, AddHi, Spread float64 }
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	Kind       string
+	At, For    float64
+	Part, Size float64
+	Region     string
+}
+
+// Kinds of trouble, and what their part and size mean.
+var Kinds = map[string]string{
+	"burst":    "contacts come size times as often",
+	"uneven":   "a part of the gateways gets the share size of all contacts",
+	"slow":     "a part of the switches runs size times slower",
+	"slow_all": "all switches run size times slower",
+	"other":    "on a part of the switches other work takes the share size of the processor, on and off",
+	"lines":    "the switches of a region keep the share size of their lines",
+	"silent":   "a part of the switches goes silent and comes back cold",
+	"ageing":   "a part of the switches gets slower up to size times, then dies and comes back cold",
+	"deploy":   "a part of the switches drains and is replaced by cold ones, one after the other",
+	"region":   "all switches of a region restart together",
+	"stall":    "a part of the gateways stands still for size seconds, again and again",
+	"restart":  "a part of the gateways is killed and comes back with its last list",
+	"mute":     "messages between gateways are lost",
+	"loss":     "a share size of all datagrams between gateways and switches is lost",
+	"listless": "the pool list says nothing",
+	"flood":    "one gateway gets size times the rated load of all, of the least valuable skill",
+}
+
+const day = 24 * 3600 * 1000.0
+
+// Read takes a script from settings.
+func Read(b *conf.Block) (*Script, error) {
+	s := &Script{Name: b.Text("name", "day"), Seed: uint64(b.Int("seed", 1, 0, 1<<31)), Length: b.Ms("length", 60000, 1000, day),
+		Regions: b.Texts("regions")}
+	if len(s.Regions) == 0 {
+		s.Regions = []string{"one"}
+	}
+	g := b.One("gateways")
+	s.Gateways = Gateways{Count: g.Int("count", 8, 1, 1000), Held: g.Int("most_held", 20000, 1, 1<<24),
+		PerBatch: g.Int("per_batch", 0, 0, 1<<20), MaxRings: g.Int("max_rings", 5, 1, 100),
+		MaxWait: int(g.Ms("max_wait", 2000, 0, day)), Tick: g.Ms("tick", 5, 0.1, 1000), Margin: g.Ms("margin", 30, 0, 10000),
+		Cancel: g.Flag("may_cancel", true), Tell: g.Flag("may_tell", true), Probe: g.Flag("may_probe", false),
+		NameWait: g.Flag("names_wait", true)}
+	r := b.One("rules")
+	s.Rules = Rules{Slack: r.Ms("slack", 20, 0, 1000), Grace: r.Ms("grace", 250, 0, 10000), Clear: r.Ms("clear_wait", 500, 0, 10000),
+		ColdShare: r.Num("cold_share", 0.36, 0.01, 1), WarmWithin: r.Ms("warm_within", 14000, 0, day),
+		TipTimes: r.Num("tip_multiple", 2.5, 0, 100), TipWindow: r.Ms("tip_time", 1000, 1, day)}
+	n := b.One("net")
+	s.Net = Net{Same: n.Ms("same", 5, 0, 1000), Cross: n.Ms("cross", 14, 0, 1000), Caller: n.Ms("caller", 0.1, 0, 1000),
+		Peer: n.Ms("peer", 6, 0, 1000), Jitter: n.Num("jitter", 0.2, 0, 1), Loss: n.Num("loss", 0, 0, 1),
+		Double: n.Num("double", 0, 0, 1), PeerLoss: n.Num("peer_loss", 0.01, 0, 1)}
+	for _, k := range b.Blocks("skill", 1) {
+		s.Skills = append(s.Skills, Skill{Name: k.Labels[0], Share: k.Num("share", 1, 0, 1), Target: k.Ms("target", 2000, 1, day),
+			Patience: k.Ms("patience", 9000, 1000, day), Try: k.Ms("try", 3000, 1000, day), Value: k.Num("value", 1, 0, 1e6),
+			Late: k.Num("late", 0.1, 0, 1), Hold: k.Ms("hold", 9000, 1, day)})
+	}
+	if len(s.Skills) == 0 {
+		s.Skills = []Skill{{"shift-lookup", 1, 2000, 9000, 3000, 1, 0.1, 9000}}
+	}
+	for _, c := range b.Blocks("customer", 1) {
+		s.Payers = append(s.Payers, Payer{c.Labels[0], c.Num("share", 1, 0, 1)})
+	}
+	if len(s.Payers) == 0 {
+		s.Payers = []Payer{{"laurentide.example", 1}}
+	}
+	p := b.One("pools")
+	retry := p.Ms("retransmit", 400, 10, 60000)
+	s.Pools = Pools{Count: p.Int("count", 4, 1, 1000), Spread: p.Num("spread", 0.15, 0, 0.9), Model: core.Model{
+		Setup: p.Num("setup_ms", 6.4, 0.001, 1000), Answer: p.Num("answer_ms", 2.4, 0, 1000), Release: p.Num("release_ms", 1.9, 0, 1000),
+		Repeat: p.Num("repeat_ms", 1, 0, 1000), Reject: p.Num("reject_ms", 0.8, 0, 1000), Probe: p.Num("probe_ms", 0.3, 0, 1000),
+		Lines: p.Int("lines", 2000, 1, 1<<20), WaitLimit: p.Ms("wait_limit", 2500, 1, day), NamesWait: p.Flag("names_wait", true),
+		WorksOn: p.Flag("works_on", false), ErrorRate: p.Num("error_rate", 0.0005, 0, 1), ColdShare: s.Rules.ColdShare,
+		Warm: p.Ms("warm", 12000, 0, day), TipTimes: s.Rules.TipTimes, TipWindow: s.Rules.TipWindow,
+		Refresh: p.Ms("refresh", 400, 1, day), Delay: p.Ms("report_delay", 120, 0, day), Noise: p.Num("noise", 0.08, 0, 1),
+		Times: signal.Times{T1: retry, T2: 8 * retry, T4: 5000}}}
+	s.Pools.Model.Reports = p.Texts("reports")
+	if len(s.Pools.Model.Reports) == 0 {
+		s.Pools.Model.Reports = []string{"util", "queue"}
+	}
+	for _, v := range s.Pools.Model.Reports {
+		if !strings.Contains(" util queue wait rate loss ", " "+v+" ") {
+			p.Fault("reports", "reports: want some of util, queue, wait, rate, loss, got %q", v)
+		}
+	}
+	l := b.One("load")
+	s.Load = Load{Rate: l.Num("rate", 300, 0, 1e6), Drift: l.Ms("drift", 15000, 100, day), Skew: l.Num("skew", 0.3, 0, 1),
+		Numbers: l.Int("numbers", 20000, 1, 1<<30), OverPart: 0}
+	c := b.One("callers")
+	s.Callers = Callers{Redials: c.Int("redials", 2, 0, 100), Pause: c.Ms("pause", 900, 0, day), Grows: c.Flag("grows", true),
+		Honour: c.Num("honour", 0.6, 0, 1), MaxWait: c.Ms("max_wait", 2000, 0, day), Silence: c.Ms("silence", 1000, 0, day)}
+	d := b.One("list")
+	s.List = List{NoticeLo: d.Ms("notice_least", 700, 0, day), NoticeHi: d.Ms("notice_most", 5000, 0, day),
+		SilentLo: d.Ms("silent_least", 5200, 0, day), SilentHi: d.Ms("silent_most", 13000, 0, day),
+		AddLo: d.Ms("add_least", 900, 0, day), AddHi: d.Ms("add_most", 2400, 0, day), Spread: d.Ms("spread", 300, 0, day)}
+	for _, t := range b.Blocks("trouble", 1) {
+		x := Trouble{Kind: t.Labels[0], At: t.Ms("at", conf.Required, 0, day), For: t.Ms("for", 10000, 0, day),
+			Part: t.Num("part", 0.25, 0, 1), Size: t.Num("size", 2, 0, 1000), Region: t.Text("region", "")}
+		if Kinds[x.Kind] == "" {
+			t.Fault("", "trouble %q is not known", x.Kind)
+		}
+		s.Troubles = append(s.Troubles, x)
+	}
+	return s, b.Err()
+}
--- /dev/null
+++ b/lab/stage/stage.go
@@ -0,0 +1,473 @@
+// Package stage puts a script's day on: switches, callers, the pool list and the wire between them and the gateways.
+// The gateways themselves are the very edge machines in virtual time, or processes of their own behind real sockets.
+package stage
+
+//tally:standin
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"sort"
+
+	"cobaltpier/api"
+	"cobaltpier/contact"
+	"cobaltpier/edge"
+	"cobaltpier/host"
+	"cobaltpier/intake"
+	"cobaltpier/lab/caller"
+	"cobaltpier/lab/core"
+	"cobaltpier/lab/script"
+	"cobaltpier/lab/world"
+	"cobaltpier/signal"
+)
+
+// Context is the trunk-context of a day's groups.
+const Context = "laurentide.example"
+
+// Fleet is what a stage asks of whatever runs the gateways. Gateways are named by their number.
+type Fleet interface {
+	List(gateway int, u *api.Update) // deliver a list
+	Halt(gateway int)                // stand still
+	Go(gateway int)
+	Kill(gateway int)
+	Start(gateway int)
+}
+
+// Gateway is one edge's place on the stage.
+type Gateway struct {
+	Number  int
+	Name    string
+	Addr    netip.AddrPort // SIP
+	Peer    netip.AddrPort // other gateways' messages
+	Region  string
+	Callers *caller.Callers
+	callers *world.Node
+	Node    *world.Node
+	have    uint64
+	deaf    bool // no list reaches it
+}
+
+// place is a pool with the machine that it has now.
+type place struct {
+	number int
+	region string
+	model  core.Model
+	addr   netip.AddrPort
+	id     string
+	state  api.State
+	start  float64 // -1: long ago
+	sw     *core.Switch
+	node   *world.Node
+	birth  int
+}
+
+// Stage is a day that goes on.
+type Stage struct {
+	Script   *script.Script
+	World    *world.World
+	Gateways []*Gateway
+	Fleet    Fleet
+	Record   func(*api.Record)             // what the capture gets; may be nil
+	Say      func(at float64, what string) // troubles as they begin and end; may be nil
+	Truth    func(session string, stood float64)
+	names    signal.Names
+	places   []*place
+	machines []*api.Member // of the list as its keeper knows it, with start times in AgeMs
+	version  uint64
+	log      []*api.Update
+	loss     float64
+	muted    bool
+	listless bool
+	base     int
+}
+
+// New builds the stage of a script; base numbers the addresses' last but one byte so that stages don't meet. The
+// gateways are added by whoever runs them.
+func New(s *script.Script, port int, record func(*api.Record)) *Stage {
+	st := &Stage{Script: s, World: world.New(s.Seed), Record: record}
+	st.names.Seed = s.Seed*2654435761 + 17
+	w := st.World
+	w.Link = st.link
+	w.Tap = func(at float64, from, to netip.AddrPort, data []byte) {
+		if st.Record != nil {
+			st.Record(&api.Record{At: at, What: &api.Record_Datagram{Datagram: &api.Datagram{From: from.String(), To: to.String(), Data: data}}})
+		}
+	}
+	r := s.Rules
+	st.record(&api.Record_Rules{Rules: &api.Rules{SlackMs: r.Slack, GraceMs: r.Grace, ClearMs: r.Clear, TipMultiple: r.TipTimes, TipMs: r.TipWindow}})
+	for i := 0; i < s.Gateways.Count; i++ {
+		region := s.Regions[i%len(s.Regions)]
+		g := &Gateway{Number: i, Name: fmt.Sprintf("edge-%d", i), Region: region, Addr: addr(1, i, port), Peer: addr(1, i, port+10)}
+		g.Node = w.Add(&world.Node{Addr: g.Addr, Name: g.Name, Region: region, Tick: s.Gateways.Tick, Tapped: true})
+		from := addr(2, i, port)
+		c := s.Callers
+		g.Callers = caller.New(caller.Manners{Redials: c.Redials, Pause: c.Pause, Grows: c.Grows, Honour: c.Honour, MaxWait: c.MaxWait,
+			Context: Context, Silence: c.Silence}, from, g.Addr, s.Pools.Model.Times, s.Seed+uint64(i)*7919+1,
+			func(to netip.AddrPort, data []byte) { w.Send(from, to, data) })
+		g.callers = w.Add(&world.Node{Addr: from, Name: fmt.Sprintf("callers-%d", i), Region: region, Machine: g.Callers})
+		st.Gateways = append(st.Gateways, g)
+		st.node(g.Addr, "edge", g.Name)
+		st.node(from, "caller", g.callers.Name)
+	}
+	for i := 0; i < s.Pools.Count; i++ {
+		m := s.Pools.Model
+		size := 1 + s.Pools.Spread*(2*st.names.Chance()-1)
+		for _, v := range []*float64{&m.Setup, &m.Answer, &m.Release, &m.Repeat, &m.Reject} {
+			*v /= size
+		}
+		m.Name = fmt.Sprintf("switch-%d", i)
+		p := &place{number: i, region: s.Regions[i%len(s.Regions)], model: m, addr: addr(3, i, port), id: fmt.Sprintf("m%d", i),
+			state: api.State_READY, start: -1}
+		st.places = append(st.places, p)
+		st.boot(p, false)
+		st.machines = append(st.machines, p.member())
+	}
+	st.version = 1
+	st.plan()
+	for _, t := range s.Troubles {
+		st.trouble(t)
+	}
+	return st
+}
+
+func addr(kind, i, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(10*kind + i/250), 0, byte(1 + i%250)}), uint16(port))
+}
+
+// Addresses are those of the stand-ins and gateways, for whoever binds sockets.
+func (st *Stage) Addresses() []netip.AddrPort {
+	var of []netip.AddrPort
+	for _, g := range st.Gateways {
+		of = append(of, g.callers.Addr)
+	}
+	for _, p := range st.places {
+		of = append(of, p.addr)
+		for n := 1; n < 4; n++ {
+			of = append(of, st.next(p, n))
+		}
+	}
+	return of
+}
+
+// next is the address of a place's nth replacement.
+func (st *Stage) next(p *place, n int) netip.AddrPort {
+	a := addr(3, p.number, 0).Addr().As4()
+	a[1] = byte(30 + 10*n)
+	return netip.AddrPortFrom(netip.AddrFrom4(a), p.addr.Port())
+}
+
+func (st *Stage) record(what any) {
+	if st.Record == nil {
+		return
+	}
+	r := &api.Record{At: st.World.Now}
+	switch v := what.(type) {
+	case *api.Record_Node:
+		r.What = v
+	case *api.Record_Rules:
+		r.What = v
+	case *api.Record_Mark:
+		r.What = v
+	case *api.Record_Listing:
+		r.What = v
+	}
+	st.Record(r)
+}
+
+func (st *Stage) node(a netip.AddrPort, role, name string) {
+	st.record(&api.Record_Node{Node: &api.Node{Addr: a.String(), Role: role, Name: name}})
+}
+
+// Mark notes something in the capture.
+func (st *Stage) Mark(what, who, text string, start *api.Start) {
+	st.record(&api.Record_Mark{Mark: &api.Mark{What: what, Who: who, Text: text, Start: start}})
+	if st.Say != nil && what != "start" {
+		st.Say(st.World.Now, fmt.Sprintf("%s %s %s", what, who, text))
+	}
+}
+
+// link is the wire between two nodes.
+func (st *Stage) link(a, b *world.Node) world.Link {
+	n := st.Script.Net
+	l := world.Link{Delay: n.Cross, Jitter: n.Jitter, Loss: n.Loss + st.loss, Double: n.Double}
+	if a.Region == b.Region {
+		l.Delay = n.Same
+	}
+	if st.isCaller(a) || st.isCaller(b) {
+		return world.Link{Delay: n.Caller}
+	}
+	return l
+}
+
+func (st *Stage) isCaller(n *world.Node) bool { _, ok := n.Machine.(*caller.Callers); return ok }
+
+// boot starts a switch process at a place.
+func (st *Stage) boot(p *place, cold bool) {
+	w := st.World
+	self := p.addr
+	p.sw = core.New(p.model, self, st.Script.Seed+uint64(p.number)*104729+uint64(p.birth)*31+5, w.Now, cold,
+		func(to netip.AddrPort, data []byte) { w.Send(self, to, data) })
+	if n := w.Node(self); n != nil {
+		n.Live(p.sw)
+		p.node = n
+	} else {
+		name := p.model.Name
+		if p.birth > 0 {
+			name = fmt.Sprintf("%s.%d", name, p.birth)
+		}
+		p.node = w.Add(&world.Node{Addr: self, Name: name, Region: p.region, Machine: p.sw})
+		st.node(self, "switch", name)
+	}
+	p.node.Due()
+	if cold {
+		st.Mark("start", p.node.Name, "", &api.Start{ColdShare: p.model.ColdShare, WarmMs: p.model.Warm, SetupMs: p.model.Setup, RepeatMs: p.model.Repeat})
+	}
+}
+
+func (p *place) member() *api.Member {
+	return &api.Member{Id: p.id, Number: int32(p.number), State: p.state, AgeMs: p.start, Addr: p.addr.String()}
+}
+
+// change lets the list know of a machine after a while.
+func (st *Stage) change(m *api.Member, lo, hi float64) {
+	st.World.At(st.World.Now+lo+(hi-lo)*st.names.Chance(), func() { st.publish(m) })
+}
+
+// publish puts a change on the list and sends it to every gateway that follows.
+func (st *Stage) publish(m *api.Member) {
+	if st.listless {
+		st.World.At(st.World.Now+500, func() { st.publish(m) }) // it learns of it when it is back
+		return
+	}
+	st.version++
+	known := false
+	for i, o := range st.machines {
+		if o.Id == m.Id {
+			st.machines[i], known = m, true
+		}
+	}
+	if !known {
+		st.machines = append(st.machines, m)
+	}
+	st.log = append(st.log, &api.Update{Version: st.version, Members: []*api.Member{m}})
+	for _, g := range st.Gateways {
+		g := g
+		st.World.At(st.World.Now+st.Script.List.Spread*st.names.Chance(), func() { st.follow(g) })
+	}
+}
+
+// follow sends a gateway all changes that it has not had.
+func (st *Stage) follow(g *Gateway) {
+	if g.deaf {
+		return
+	}
+	for _, u := range st.log {
+		if u.Version > g.have {
+			g.have = u.Version
+			st.deliver(g, u)
+		}
+	}
+}
+
+// Whole is the list as its keeper has it.
+func (st *Stage) Whole() *api.Update {
+	return &api.Update{Version: st.version, Whole: true, Members: st.machines}
+}
+
+// Welcome sends a gateway that starts the whole list; or, where it had one, what changed since.
+func (st *Stage) Welcome(g *Gateway, have uint64) {
+	if have > 0 && have <= st.version {
+		g.have = have
+		st.follow(g)
+		return
+	}
+	g.have = st.version
+	st.deliver(g, st.Whole())
+}
+
+func (st *Stage) deliver(g *Gateway, u *api.Update) {
+	out := &api.Update{Version: u.Version, Whole: u.Whole}
+	l := &api.Listing{Edge: g.Name, Whole: u.Whole}
+	for _, m := range u.Members {
+		age := -1.0
+		since := 0.0
+		if m.AgeMs >= 0 {
+			age, since = st.World.Now-m.AgeMs, m.AgeMs
+		}
+		out.Members = append(out.Members, &api.Member{Id: m.Id, Number: m.Number, State: m.State, AgeMs: age, Addr: m.Addr})
+		l.Entries = append(l.Entries, &api.Entry{Id: m.Id, Number: m.Number, State: stateName[m.State], Since: since, Addr: m.Addr})
+	}
+	st.record(&api.Record_Listing{Listing: l})
+	st.Fleet.List(g.Number, out)
+}
+
+var stateName = map[api.State]string{api.State_GONE: "gone", api.State_READY: "ready", api.State_DRAINING: "draining"}
+
+// kill lets a place's process die: its calls are cut without a word.
+func (st *Stage) kill(p *place) {
+	st.Mark("kill", p.node.Name, "", nil)
+	st.hush(p)
+	p.node.Die()
+}
+
+// hush tells the callers of a dead process's calls that their line is dead.
+func (st *Stage) hush(p *place) {
+	of := p.sw.Standing()
+	sort.Strings(of)
+	for _, g := range st.Gateways {
+		for _, s := range of {
+			g.Callers.Cut(st.World.Now, s)
+		}
+		g.callers.Due()
+	}
+}
+
+// plan draws all arrivals ahead.
+func (st *Stage) plan() {
+	s, n := st.Script, &st.names
+	if s.Load.Rate <= 0 {
+		return
+	}
+	most := 1.0
+	for _, t := range s.Troubles {
+		if t.Kind == "burst" {
+			most *= math.Max(1, t.Size)
+		}
+	}
+	odd := map[int]map[int]bool{}
+	for i, t := range s.Troubles {
+		if t.Kind == "uneven" {
+			odd[i] = map[int]bool{}
+			for k := 0; k < max(1, int(t.Part*float64(len(st.Gateways)))); k++ {
+				odd[i][int(n.Chance()*float64(len(st.Gateways)))] = true
+			}
+		}
+	}
+	var weights []float64
+	segment := -1
+	for at := 0.0; ; {
+		at += -math.Log(1-n.Chance()) * 1000 / (s.Load.Rate * most)
+		if at >= s.Length-1000 {
+			break
+		}
+		now := 1.0
+		g := int(n.Chance() * float64(len(st.Gateways)))
+		for i, t := range s.Troubles {
+			if at < t.At || at >= t.At+t.For {
+				continue
+			}
+			switch t.Kind {
+			case "burst":
+				now *= t.Size
+			case "uneven":
+				if n.Chance() < t.Size {
+					var of []int
+					for k := range odd[i] {
+						of = append(of, k)
+					}
+					sort.Ints(of)
+					g = of[int(n.Chance()*float64(len(of)))]
+				}
+			}
+		}
+		if n.Chance()*most >= now {
+			continue
+		}
+		if k := int(at / s.Load.Drift); k != segment {
+			segment, weights = k, nil
+			for _, p := range st.places {
+				weights = append(weights, (1+s.Load.Skew*(2*n.Chance()-1))/p.model.Setup)
+			}
+		}
+		k := pick(n.Chance(), len(s.Skills), func(i int) float64 { return s.Skills[i].Share })
+		c := pick(n.Chance(), len(s.Payers), func(i int) float64 { return s.Payers[i].Share })
+		home := pick(n.Chance(), len(weights), func(i int) float64 { return weights[i] })
+		skill := s.Skills[k]
+		st.Gateways[g].Callers.Plan(&caller.Arrival{At: at, Number: fmt.Sprintf("+1418%07d", int(n.Chance()*float64(s.Load.Numbers))),
+			Skill: skill.Name, Customer: s.Payers[c].Name, Group: Group(home), Hold: -math.Log(1-n.Chance()) * skill.Hold,
+			Target: skill.Target, Patience: skill.Patience, Try: skill.Try, Value: skill.Value, Late: skill.Late})
+	}
+	for _, t := range s.Troubles {
+		if t.Kind == "flood" {
+			st.flood(t)
+		}
+	}
+	for _, g := range st.Gateways {
+		g.callers.Due()
+	}
+}
+
+// flood sends one gateway many contacts of the least value.
+func (st *Stage) flood(t script.Trouble) {
+	s, n := st.Script, &st.names
+	least := s.Skills[0]
+	for _, k := range s.Skills {
+		if k.Value < least.Value {
+			least = k
+		}
+	}
+	for at := t.At; at < t.At+t.For && at < s.Length-1000; at += -math.Log(1-n.Chance()) * 1000 / (s.Load.Rate * t.Size) {
+		st.Gateways[0].Callers.Plan(&caller.Arrival{At: at, Number: fmt.Sprintf("+1999%07d", int(n.Chance()*1e7)), Skill: least.Name,
+			Customer: s.Payers[0].Name, Group: Group(0), Hold: least.Hold, Target: least.Target, Patience: least.Patience,
+			Try: least.Try, Value: least.Value, Late: least.Late, Over: true})
+	}
+}
+
+// Group is the name of the trunk group to a pool.
+func Group(pool int) string { return fmt.Sprintf("TG-%d", pool) }
+
+func pick(u float64, n int, weight func(int) float64) int {
+	sum := 0.0
+	for i := 0; i < n; i++ {
+		sum += weight(i)
+	}
+	u *= sum
+	for i := 0; i < n; i++ {
+		if u -= weight(i); u < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+// Settings are what the decision module of a gateway is told.
+func (st *Stage) Settings(g *Gateway) *contact.Settings {
+	s := st.Script
+	set := &contact.Settings{Gateways: s.Gateways.Count, Me: g.Number, Seed: s.Seed*1000003 + uint64(g.Number), Tick: s.Gateways.Tick,
+		MaxRings: s.Gateways.MaxRings, MayProbe: s.Gateways.Probe, MayTell: s.Gateways.Tell, MayCancel: s.Gateways.Cancel,
+		MayWait: s.Gateways.NameWait, MaxWait: float64(s.Gateways.MaxWait), Retransmit: s.Pools.Model.Times.T1,
+		Slack: s.Rules.Slack, ColdShare: s.Rules.ColdShare, WarmWithin: s.Rules.WarmWithin, TipMultiple: s.Rules.TipTimes,
+		TipTime: s.Rules.TipWindow, ClearWait: s.Rules.Clear}
+	for _, k := range s.Skills {
+		set.Skills = append(set.Skills, &contact.Skill{Name: k.Name, Target: k.Target, Patience: k.Patience, Value: k.Value,
+			LateValue: k.Late, Hold: k.Hold, Repeat: true})
+	}
+	for _, c := range s.Payers {
+		set.Customers = append(set.Customers, &contact.Customer{Name: c.Name})
+	}
+	return set
+}
+
+// Config is what a gateway's edge is told.
+func (st *Stage) Config(g *Gateway) *edge.Config {
+	s := st.Script
+	c := &edge.Config{Name: g.Name, Self: g.Addr, Context: Context, Set: st.Settings(g), Times: s.Pools.Model.Times,
+		Default: s.Skills[0].Name, Margin: s.Gateways.Margin, Gate: intake.Gate{Most: s.Gateways.Held, PerBatch: s.Gateways.PerBatch}}
+	for _, p := range st.places {
+		c.Groups = append(c.Groups, edge.Group{Name: Group(p.number), Pool: p.number, Size: p.model.Lines})
+	}
+	return c
+}
+
+// Tell carries a message between gateways.
+func (st *Stage) Tell(to int, deliver func(now float64)) {
+	n := st.Script.Net
+	if to < 0 || to >= len(st.Gateways) || st.muted || st.names.Chance() < n.PeerLoss {
+		return
+	}
+	st.World.At(st.World.Now+n.Peer*(1+n.Jitter*(2*st.names.Chance()-1)), func() { deliver(st.World.Now) })
+}
+
+// Module makes a gateway's decision module.
+type Module = host.Maker
--- /dev/null
+++ b/lab/stage/trouble.go
@@ -0,0 +1,234 @@
+package stage
+
+import (
+	"fmt"
+	"math"
+
+	"cobaltpier/api"
+	"cobaltpier/lab/script"
+)
+
+// trouble plans one thing that goes wrong.
+func (st *Stage) trouble(t script.Trouble) {
+	w := st.World
+	end := t.At + t.For
+	during := func(begin, stop func()) {
+		w.At(t.At, func() { st.Mark("trouble", t.Kind, "begins", nil); begin() })
+		w.At(end, func() { st.Mark("trouble", t.Kind, "ends", nil); stop() })
+	}
+	nothing := func() {}
+	switch t.Kind {
+	case "burst", "uneven", "flood":
+		during(nothing, nothing) // the plan of arrivals has it
+	case "slow", "slow_all":
+		of := st.places
+		if t.Kind == "slow" {
+			of = st.some(t)
+		}
+		during(func() {
+			for _, p := range of {
+				p.sw.Slow = t.Size
+			}
+		}, func() {
+			for _, p := range of {
+				p.sw.Slow = 1
+			}
+		})
+	case "other":
+		of := st.some(t)
+		during(func() { st.other(of, t.Size, end) }, nothing)
+	case "lines":
+		during(func() {
+			for _, p := range st.in(t.Region) {
+				p.sw.LoseLines(w.Now, t.Size)
+				p.node.Due()
+			}
+		}, func() {
+			for _, p := range st.in(t.Region) {
+				p.sw.LoseLines(w.Now, 1)
+			}
+		})
+	case "silent":
+		of := st.some(t)
+		during(func() {
+			for _, p := range of {
+				st.kill(p)
+				st.lost(p)
+			}
+		}, func() {
+			for _, p := range of {
+				st.back(p)
+			}
+		})
+	case "ageing":
+		of := st.some(t)
+		during(func() { st.age(of, t, 0) }, nothing)
+	case "deploy":
+		of := st.some(t)
+		w.At(t.At, func() {
+			st.Mark("trouble", t.Kind, "begins", nil)
+			for i, p := range of {
+				p := p
+				w.At(t.At+t.For*float64(i)/float64(len(of)), func() { st.replace(p) })
+			}
+		})
+	case "region":
+		during(func() {
+			for _, p := range st.in(t.Region) {
+				st.kill(p)
+				st.lost(p)
+			}
+		}, func() {
+			for _, p := range st.in(t.Region) {
+				st.back(p)
+			}
+		})
+	case "stall":
+		during(func() { st.stall(st.gates(t), t.Size*1000, end) }, nothing)
+	case "restart":
+		during(func() {
+			for _, g := range st.gates(t) {
+				g := g
+				st.Mark("edge-kill", g.Name, "", nil)
+				st.Fleet.Kill(g.Number)
+				w.At(w.Now+300+700*st.names.Chance(), func() { st.Fleet.Start(g.Number) })
+			}
+		}, nothing)
+	case "mute":
+		during(func() { st.muted = true }, func() { st.muted = false })
+	case "loss":
+		during(func() { st.loss += t.Size }, func() { st.loss = math.Max(0, st.loss-t.Size) })
+	case "listless":
+		during(func() { st.listless = true }, func() { st.listless = false })
+	}
+}
+
+// some draws a part of the places, at least one.
+func (st *Stage) some(t script.Trouble) []*place {
+	of := st.in(t.Region)
+	n := max(1, int(math.Round(t.Part*float64(len(of)))))
+	of = append([]*place{}, of...)
+	for i := len(of) - 1; i > 0; i-- {
+		j := int(st.names.Chance() * float64(i+1))
+		of[i], of[j] = of[j], of[i]
+	}
+	return of[:min(n, len(of))]
+}
+
+func (st *Stage) gates(t script.Trouble) []*Gateway {
+	of := append([]*Gateway{}, st.Gateways...)
+	for i := len(of) - 1; i > 0; i-- {
+		j := int(st.names.Chance() * float64(i+1))
+		of[i], of[j] = of[j], of[i]
+	}
+	return of[:min(len(of), max(1, int(math.Round(t.Part*float64(len(of))))))]
+}
+
+// in is the places of a region, or all.
+func (st *Stage) in(region string) []*place {
+	var of []*place
+	for _, p := range st.places {
+		if region == "" || p.region == region {
+			of = append(of, p)
+		}
+	}
+	return of
+}
+
+func (st *Stage) other(of []*place, share, end float64) {
+	w := st.World
+	if w.Now >= end {
+		for _, p := range of {
+			p.sw.Other = 0
+		}
+		return
+	}
+	for _, p := range of {
+		if p.sw.Other == 0 {
+			p.sw.Other = share
+		} else {
+			p.sw.Other = 0
+		}
+	}
+	w.At(math.Min(end, w.Now+500+2000*st.names.Chance()), func() { st.other(of, share, end) })
+}
+
+// age slows a process step by step, then it dies and comes back.
+func (st *Stage) age(of []*place, t script.Trouble, step int) {
+	const steps = 10
+	for _, p := range of {
+		if step == steps {
+			st.kill(p)
+			st.lost(p)
+			p := p
+			st.World.At(st.World.Now+2000, func() { st.back(p) })
+			continue
+		}
+		p.sw.Slow = 1 + (t.Size-1)*float64(step)/steps
+	}
+	if step < steps {
+		st.World.At(st.World.Now+t.For/steps, func() { st.age(of, t, step+1) })
+	}
+}
+
+// lost lets the list learn, late, that a process is silent.
+func (st *Stage) lost(p *place) {
+	birth, l := p.birth, st.Script.List
+	st.World.At(st.World.Now+l.SilentLo+(l.SilentHi-l.SilentLo)*st.names.Chance(), func() {
+		if p.birth == birth { // not back meanwhile
+			p.state = api.State_GONE
+			st.publish(p.member())
+		}
+	})
+}
+
+// back starts a process anew on the same machine: cold.
+func (st *Stage) back(p *place) {
+	p.birth++
+	p.state, p.start = api.State_READY, st.World.Now
+	st.boot(p, true)
+	st.change(p.member(), st.Script.List.AddLo, st.Script.List.AddHi)
+}
+
+// replace drains a place's machine and puts a new one, cold, beside it.
+func (st *Stage) replace(p *place) {
+	w, l := st.World, st.Script.List
+	old := *p
+	old.state = api.State_DRAINING
+	st.Mark("drain", p.node.Name, "", nil)
+	m := old.member()
+	st.change(m, l.NoticeLo/4, l.NoticeLo)
+	w.At(w.Now+6000, func() {
+		st.Mark("stop", old.node.Name, "", nil)
+		old.sw.Stop(w.Now)
+		old.node.Due()
+		gone := old.member()
+		gone.State = api.State_GONE
+		w.At(w.Now+1000, func() { old.node.Die() })
+		st.change(gone, l.NoticeLo, l.NoticeHi)
+	})
+	p.birth++
+	p.id = fmt.Sprintf("m%d.%d", p.number, p.birth)
+	p.addr = st.next(p, min(3, p.birth))
+	p.state, p.start = api.State_READY, w.Now
+	st.boot(p, true)
+	st.change(p.member(), l.AddLo, l.AddHi)
+}
+
+// stall lets gateways stand still, again and again.
+func (st *Stage) stall(of []*Gateway, span, end float64) {
+	w := st.World
+	if w.Now >= end {
+		return
+	}
+	for _, g := range of {
+		g := g
+		st.Mark("edge-stop", g.Name, "", nil)
+		st.Fleet.Halt(g.Number)
+		w.At(w.Now+span, func() {
+			st.Fleet.Go(g.Number)
+			st.Mark("edge-go", g.Name, "", nil)
+		})
+	}
+	w.At(w.Now+span+2000+1600*st.names.Chance(), func() { st.stall(of, span, end) })
+}
--- /dev/null
+++ b/lab/stage/virtual.go
@@ -0,0 +1,135 @@
+package stage
+
+import (
+	"math"
+	"net/netip"
+
+	"cobaltpier/api"
+	"cobaltpier/contact"
+	"cobaltpier/edge"
+	"cobaltpier/host"
+)
+
+// Virtual runs the gateways as machines in the stage's own world.
+type Virtual struct {
+	Stage *Stage
+	Make  host.Maker
+	Edges []*Box
+}
+
+// Box is an edge in virtual time; what is no datagram waits there for its next tick.
+type Box struct {
+	*edge.Edge
+	v       *Virtual
+	g       *Gateway
+	pending []func(now float64)
+	births  uint64
+}
+
+// NewVirtual puts the gateways on a stage, all with the same kind of module. They start within the first second with
+// the whole list.
+func NewVirtual(st *Stage, mk host.Maker) *Virtual {
+	v := &Virtual{Stage: st, Make: mk}
+	st.Fleet = v
+	for _, g := range st.Gateways {
+		b := &Box{v: v, g: g}
+		v.Edges = append(v.Edges, b)
+		b.fresh()
+		g.Node.Machine = b
+		st.Welcome(g, 0)
+		g.Node.Due()
+	}
+	return v
+}
+
+func (b *Box) fresh() {
+	cfg := b.v.Stage.Config(b.g)
+	cfg.Set.Seed += b.births << 32
+	b.births++
+	b.pending = nil
+	b.Edge = edge.New(cfg, b.v.Make, b)
+}
+
+// Send implements edge.Out.
+func (b *Box) Send(to netip.AddrPort, data []byte) { b.v.Stage.World.Send(b.g.Addr, to, data) }
+
+// Tell implements edge.Out.
+func (b *Box) Tell(to int, data []byte) {
+	from := b.g.Number
+	b.v.Stage.Tell(to, func(float64) {
+		o := b.v.Edges[to]
+		o.later(func(now float64) { o.Peer(now, from, data) })
+	})
+}
+
+func (b *Box) later(do func(now float64)) {
+	if b.g.Node.Dead {
+		return
+	}
+	b.pending = append(b.pending, do)
+	b.g.Node.Due()
+}
+
+// Wake implements world.Machine.
+func (b *Box) Wake(now float64) {
+	of := b.pending
+	b.pending = nil
+	for _, do := range of {
+		do(now)
+	}
+	b.Edge.Wake(now)
+}
+
+// Next implements world.Machine.
+func (b *Box) Next() float64 {
+	if len(b.pending) > 0 {
+		return b.v.Stage.World.Now
+	}
+	return b.Edge.Next()
+}
+
+// List implements Fleet.
+func (v *Virtual) List(i int, u *api.Update) {
+	b := v.Edges[i]
+	sent := v.Stage.World.Now
+	b.later(func(now float64) { b.Listed(now, Members(u, sent), u.Whole) })
+}
+
+// Members turns a list from the wire into an edge's; at is when it came, on the edge's clock.
+func Members(u *api.Update, at float64) []edge.Member {
+	var of []edge.Member
+	for _, m := range u.Members {
+		a, err := netip.ParseAddrPort(m.Addr)
+		if err != nil || m.Id == "" {
+			continue
+		}
+		e := edge.Member{ID: m.Id, Number: int(m.Number), State: contact.State(m.State), Addr: a}
+		if m.AgeMs >= 0 {
+			e.Since = math.Max(1e-3, at-m.AgeMs)
+		}
+		of = append(of, e)
+	}
+	return of
+}
+
+// Halt implements Fleet.
+func (v *Virtual) Halt(i int) { v.Stage.Gateways[i].Node.Halt() }
+
+// Go implements Fleet.
+func (v *Virtual) Go(i int) { v.Stage.Gateways[i].Node.Go() }
+
+// Kill implements Fleet.
+func (v *Virtual) Kill(i int) {
+	g := v.Stage.Gateways[i]
+	g.Node.Die()
+	g.deaf = true
+}
+
+// Start implements Fleet.
+func (v *Virtual) Start(i int) {
+	g, b := v.Stage.Gateways[i], v.Edges[i]
+	b.fresh()
+	g.Node.Live(b)
+	g.deaf = false
+	v.Stage.Welcome(g, 0)
+}
--- a/signal/client.go
+++ b/signal/client.go
@@ -48,6 +48,16 @@
 	return c
 }
 
+// Ack sends the ACK of a 2xx, a transaction of its own without an answer (RFC 3261 13.2.2.4), and returns its bytes.
+func (l *Layer) Ack(req *sip.Request, to netip.AddrPort) []byte {
+	req.PrependHeader(&sip.ViaHeader{ProtocolName: "SIP", ProtocolVersion: "2.0", Transport: "UDP",
+		Host: l.Self.Addr().String(), Port: int(l.Self.Port()),
+		Params: sip.HeaderParams{{K: "branch", V: "z9hG4bK" + l.Names.Next()}}})
+	data := []byte(req.String())
+	l.out(to, data)
+	return data
+}
+
 // Request is what was asked, with its Via.
 func (c *Client) Request() *sip.Request { return c.req }
 
--- a/signal/layer.go
+++ b/signal/layer.go
@@ -35,6 +35,8 @@
 	Times  Times
 	Now    float64 // the time as last handed in
 	Bad    int     // datagrams that were no messages
+	// OnRepeat, if set, hears of repeats of a request; they are answered here.
+	OnRepeat func(*Server)
 
 	user    User
 	out     func(to netip.AddrPort, data []byte)
@@ -86,6 +88,9 @@
 
 func (l *Layer) asked(from netip.AddrPort, m *sip.Request, key string) {
 	if s := l.servers[key]; s != nil {
+		if l.OnRepeat != nil {
+			l.OnRepeat(s)
+		}
 		s.repeated()
 		return
 	}
@@ -168,6 +173,17 @@
 	s.end = l.Timers.Set(l.Now+64*l.Times.T1, s.unacked) // timer H
 }
 
+// Refuse sends a final answer and forgets the transaction at once (RFC 3261 8.2.7): for floods, where the user keeps
+// account of repeats in less space.
+func (s *Server) Refuse(res *sip.Response) {
+	if s.final != 0 {
+		return
+	}
+	s.final = res.StatusCode
+	s.layer.out(s.to, []byte(res.String()))
+	s.forget()
+}
+
 // Lost calls back when nobody acknowledged a 2xx within 64 T1.
 func (s *Server) Lost(do func()) { s.lost = do }
 
--- a/signal/message.go
+++ b/signal/message.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -85,7 +86,46 @@
 }
 
 // parser is read only once made.
-var parser = sip.NewParser()
+var parser = newParser()
+
+// newParser is the library's, but for quoted values in a Via: the library takes a comma in them for the end of the
+// Via, and loses its place after the closing quote; RFC 7339 4.1 writes its list of algorithms so. They are hidden
+// from it behind bytes that no message may hold, and put back after.
+func newParser() *sip.Parser {
+	m := maps.Clone(sip.DefaultHeadersParser())
+	plain := m["via"]
+	via := func(name []byte, text string) (sip.Header, error) {
+		if strings.IndexByte(text, '"') < 0 {
+			return plain(name, text)
+		}
+		h, err := plain(name, hide(text))
+		if v, ok := h.(*sip.ViaHeader); ok && v != nil {
+			for i := range v.Params {
+				v.Params[i].V = strings.NewReplacer("\x1d", `"`, "\x1e", ";", "\x1f", ",").Replace(v.Params[i].V)
+			}
+		}
+		return h, err
+	}
+	m["via"], m["v"] = via, via
+	return sip.NewParser(sip.WithHeadersParsers(m))
+}
+
+// hide puts other bytes in the place of quotes, and of what parts parameters inside them.
+func hide(s string) string {
+	b, quoted := []byte(s), false
+	for i, c := range b {
+		switch {
+		case c == '"':
+			quoted = !quoted
+			b[i] = 0x1d
+		case quoted && c == ';':
+			b[i] = 0x1e
+		case quoted && c == ',':
+			b[i] = 0x1f
+		}
+	}
+	return string(b)
+}
 
 // Field is a header field's value, "" where there is none.
 func Field(m interface{ GetHeader(string) sip.Header }, name string) string {
@@ -116,8 +156,8 @@
 	res.AppendHeader(to)
 	res.AppendHeader(req.CallID())
 	res.AppendHeader(req.CSeq())
-	if s := req.GetHeader(SessionID); s != nil {
-		res.AppendHeader(s)
+	if s := Session(req); s != "" {
+		res.AppendHeader(sip.NewHeader(SessionID, nilID+";remote="+s))
 	}
 	return res
 }
@@ -159,3 +199,27 @@
 	}
 	return netip.AddrPortFrom(from.Addr(), uint16(port))
 }
+
+const nilID = "00000000000000000000000000000000"
+
+// Session is the contact's id (RFC 7989 5): the first of a Session-ID's two that is not the nil one. "" without.
+func Session(m interface{ GetHeader(string) sip.Header }) string {
+	local, rest, _ := strings.Cut(Field(m, SessionID), ";")
+	if local = strings.TrimSpace(local); local != "" && local != nilID {
+		return local
+	}
+	remote, _ := strings.CutPrefix(strings.TrimSpace(rest), "remote=")
+	if remote == nilID {
+		return ""
+	}
+	return remote
+}
+
+// SessionValue is the header's value in a request of a contact's own side.
+func SessionValue(id string) string { return id + ";remote=" + nilID }
+
+// NewSession makes an id: 32 lower-case hex digits (RFC 7989 4.1).
+func NewSession(n *Names) string {
+	a, b := n.Chance(), n.Chance()
+	return fmt.Sprintf("%016x%016x", uint64(a*(1<<53))|1<<63, uint64(b*(1<<53))|1<<62)
+}
