--- /dev/null
+++ b/cmd/cobalt-edge/main.go
@@ -0,0 +1,17 @@
+// Cobalt-edge is a gateway: it takes calls by SIP and sets them up over trunk groups.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"cobaltpier/edgecmd"
+)
+
+func main() {
+	if err := edgecmd.New().ExecuteContext(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "cobalt-edge:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/edgecmd/edgecmd.go
@@ -0,0 +1,95 @@
+// Package edgecmd is the command line of cobalt-edge, which the laboratory starts too.
+package edgecmd
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
+
+	"cobaltpier/brain"
+	"cobaltpier/contact"
+	"cobaltpier/gateway"
+	"cobaltpier/host"
+	"cobaltpier/lab/baseline"
+	"cobaltpier/settings"
+)
+
+// ErrForced says that a second signal ended the gateway with contacts still held.
+var ErrForced = errors.New("ended at once: contacts that were held have no answer")
+
+// New is the command.
+func New() *cobra.Command {
+	root := &cobra.Command{Use: "cobalt-edge", Short: "A gateway: takes calls by SIP and sets them up over trunk groups",
+		Long: `cobalt-edge takes calls by SIP over UDP, asks the decision module about each, and sets it up at a core switch over a
+trunk group. The pool list tells it of the switches; answers of the switches tell it of their load.
+
+Signals: SIGTERM or SIGINT drains (no new contact, all held ones answered, status 0); a second one ends it at once
+(status 1).`, SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(run(), check())
+	return root
+}
+
+func run() *cobra.Command {
+	var config, module string
+	c := &cobra.Command{Use: "run", Short: "Run a gateway until it is told to drain", Args: cobra.NoArgs,
+		Example: "  cobalt-edge run --config edge.hcl",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, err := settings.Load(config)
+			if err != nil {
+				return err
+			}
+			mk := func(s *contact.Settings, h contact.Host) host.Module { return brain.New(s, h) }
+			if module != "brain" {
+				if mk = baseline.ByName(module); mk == nil {
+					return fmt.Errorf("module %q: want brain, lottery or random", module)
+				}
+			}
+			level, _ := zerolog.ParseLevel(set.Level)
+			var w io.Writer = cmd.ErrOrStderr()
+			if set.Console {
+				w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly}
+			}
+			// a reader of the log that is slow loses lines; the loop goes on
+			d := diode.NewWriter(w, 4096, 10*time.Millisecond, nil)
+			defer d.Close()
+			log := zerolog.New(d).Level(level).With().Timestamp().Str("gateway", set.Name).Logger()
+			signals, stop := make(chan os.Signal, 4), make(chan struct{}, 4)
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+			defer signal.Stop(signals)
+			go func() {
+				for range signals {
+					stop <- struct{}{}
+				}
+			}()
+			out, err := gateway.Run(cmd.Context(), set, mk, log, stop)
+			if err == nil && out == gateway.Forced {
+				err = ErrForced
+			}
+			return err
+		}}
+	c.Flags().StringVarP(&config, "config", "c", "edge.hcl", "the settings")
+	c.Flags().StringVar(&module, "module", "brain", "what decides: brain, or the baselines lottery and random")
+	return c
+}
+
+func check() *cobra.Command {
+	var config string
+	c := &cobra.Command{Use: "check", Short: "Check a settings file and say what is wrong with it, with file and line", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := settings.Load(config)
+			if err == nil {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s: gateway %s on %s, %d groups, %d skills: fine\n", config, s.Name, s.Self, len(s.Groups), len(s.Set.Skills))
+			}
+			return err
+		}}
+	c.Flags().StringVarP(&config, "config", "c", "edge.hcl", "the settings")
+	return c
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,223 @@
+// Package gateway drives one edge by the wall clock: one loop owns the edge's state, and all that came since the last
+// tick is one batch. Sockets, the pool list, signals and logs reach it through one bounded queue and never hold it up.
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"cobaltpier/api"
+	"cobaltpier/edge"
+	"cobaltpier/host"
+	"cobaltpier/listing"
+	"cobaltpier/reactor"
+	"cobaltpier/settings"
+)
+
+// Outcome is how a gateway ended.
+type Outcome int
+
+// The outcomes.
+const (
+	Drained Outcome = iota // all that was held has its answer
+	Forced                 // told twice to end: what was held is lost
+)
+
+// origin is the clock's value at the start, in ms: starts of switches before that still lie after nought.
+const origin = 1e9
+
+type event struct {
+	kind kind
+	from netip.AddrPort
+	data []byte
+	list *api.Update
+	at   time.Time
+}
+
+type kind int
+
+const (
+	sip kind = iota
+	peer
+	list
+)
+
+// Gateway is a running edge.
+type Gateway struct {
+	set     *settings.Edge
+	log     zerolog.Logger
+	edge    *edge.Edge
+	sockets *reactor.Sockets
+	events  chan event
+	start   time.Time
+	lost    uint64 // datagrams that found the queue full
+}
+
+// Run runs an edge until ctx's parent says so: the first value on stop lets it drain, the second ends it at once.
+func Run(ctx context.Context, set *settings.Edge, mk host.Maker, log zerolog.Logger, stop <-chan struct{}) (Outcome, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g := &Gateway{set: set, log: log, events: make(chan event, set.Queue), start: time.Now()}
+	addrs := []netip.AddrPort{set.Self, set.Peer}
+	sockets, err := reactor.Listen(addrs, 1, g.arrived)
+	if err != nil {
+		if reactor.Taken(err) {
+			return Forced, fmt.Errorf("gateway %s: another program has the address: %w", set.Name, err)
+		}
+		return Forced, fmt.Errorf("gateway %s: %w", set.Name, err)
+	}
+	defer sockets.Close()
+	g.sockets = sockets
+	g.edge = edge.New(&set.Config, mk, g)
+	if log.GetLevel() <= zerolog.DebugLevel {
+		g.edge.OnFate = func(f edge.Fate) {
+			log.Debug().Str("contact", f.Session).Str("skill", f.Skill).Int("answer", f.Answer).Int("rings", f.Rings).
+				Float64("took_ms", f.Took).Msg("contact")
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		err := listing.Follow(ctx, set.List, set.Name, func(u *api.Update) {
+			select {
+			case g.events <- event{kind: list, list: u, at: time.Now()}:
+			case <-ctx.Done():
+			}
+		}, func(up bool, err error) {
+			if up {
+				log.Info().Str("list", set.List).Msg("pool list followed")
+			} else {
+				log.Warn().Str("list", set.List).AnErr("cause", err).Msg("pool list lost; the old one is kept")
+			}
+		})
+		if err != nil {
+			log.Error().Err(err).Msg("pool list")
+		}
+	}()
+	log.Info().Str("sip", set.Self.String()).Int("number", set.Set.Me).Msg("gateway runs")
+	out := g.loop(stop)
+	cancel()
+	<-done
+	c := g.edge.Counts
+	log.Info().Uint64("taken", c.Taken).Uint64("stood", c.Stood).Uint64("deferred", c.Deferred).Uint64("abandoned", c.Abandoned).
+		Uint64("turned", c.Turned).Uint64("rings", c.Rings).Uint64("overdue", c.Overdue).Uint64("barred", c.Barred).
+		Uint64("queue_lost", g.lost).Uint64("send_lost", sockets.Lost.Load()).Bool("drained", out == Drained).Msg("gateway ended")
+	return out, nil
+}
+
+// arrived runs in the poller: what finds the queue full is lost, as the network may lose it.
+func (g *Gateway) arrived(local, from netip.AddrPort, data []byte) {
+	e := event{kind: sip, from: from, data: data}
+	if local == g.set.Peer {
+		e.kind = peer
+	}
+	select {
+	case g.events <- e:
+	default:
+		g.lost++
+	}
+}
+
+// Send implements edge.Out.
+func (g *Gateway) Send(to netip.AddrPort, data []byte) { g.sockets.Send(g.set.Self, to, data) }
+
+// Tell implements edge.Out: two bytes say who sends, then the message.
+func (g *Gateway) Tell(to int, data []byte) {
+	if to < len(g.set.Peers) && len(data) <= 256 {
+		g.sockets.Send(g.set.Peer, g.set.Peers[to], append(binary.BigEndian.AppendUint16(nil, uint16(g.set.Set.Me)), data...))
+	}
+}
+
+func (g *Gateway) now() float64 { return origin + float64(time.Since(g.start))/1e6 }
+
+// loop is the one owner of the edge.
+func (g *Gateway) loop(stop <-chan struct{}) Outcome {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var last, closing float64 // the latest batch; when the drain began, 0: not
+	for {
+		now := g.now()
+		wait := math.Min(g.edge.Next()-now, 100)
+		if closing > 0 {
+			wait = math.Min(wait, 10)
+		}
+		if wait > 0 {
+			timer.Reset(time.Duration(wait * 1e6))
+			select {
+			case e := <-g.events:
+				if rest := g.set.Tick - (g.now() - last); rest > 0 { // the batch of this tick is not over
+					time.Sleep(time.Duration(rest * 1e6))
+				}
+				now = g.now()
+				g.take(now, e)
+			case <-timer.C:
+				now = g.now()
+			case <-stop:
+				if closing > 0 {
+					return Forced
+				}
+				closing = g.now()
+				g.edge.Close()
+				g.log.Info().Msg("draining")
+				continue
+			}
+		} else if rest := g.set.Tick - (now - last); rest > 0 {
+			time.Sleep(time.Duration(rest * 1e6))
+			now = g.now()
+		}
+		for n := len(g.events); n > 0; n-- {
+			g.take(now, <-g.events)
+		}
+		g.edge.Wake(now)
+		last = now
+		if closing > 0 {
+			select {
+			case <-stop:
+				return Forced
+			default:
+			}
+			if g.drained(now, closing) {
+				return Drained
+			}
+		}
+	}
+}
+
+// drained tells whether a gateway that drains may go: nobody waits for an answer, and the calls that stood have ended
+// or were released when their time was over, with a while for the release to be heard.
+func (g *Gateway) drained(now, since float64) bool {
+	waiting, standing := g.edge.Held()
+	if waiting > 0 {
+		return false
+	}
+	if standing > 0 {
+		if now-since > g.set.DrainWithin {
+			g.edge.Release(now)
+		}
+		return false
+	}
+	dialogs, _, _ := g.edge.Open() // set-ups that nobody waits for, and that a switch may still answer
+	return dialogs == 0 || now-since > g.set.DrainWithin+lastWait
+}
+
+// lastWait is how long a drained gateway waits at most for answers that only have to be released, ms.
+const lastWait = 2000
+
+func (g *Gateway) take(now float64, e event) {
+	switch e.kind {
+	case sip:
+		g.edge.Receive(now, e.from, e.data)
+	case peer:
+		if len(e.data) > 2 {
+			g.edge.Peer(now, int(binary.BigEndian.Uint16(e.data)), e.data[2:])
+		}
+	case list:
+		g.edge.Listed(now, listing.Members(e.list, origin+float64(e.at.Sub(g.start))/1e6), e.list.Whole)
+	}
+}
--- /dev/null
+++ b/lab/day/day.go
@@ -0,0 +1,424 @@
+// Package day puts a script's day on with gateways that are processes of their own: real sockets, a real pool list
+// stream, signals. Switches, callers and the wire are the stage's, by the wall clock.
+package day
+
+//tally:standin
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"cobaltpier/api"
+	"cobaltpier/capture"
+	"cobaltpier/check"
+	"cobaltpier/lab/script"
+	"cobaltpier/lab/stage"
+	"cobaltpier/reactor"
+)
+
+// Options are how a day is put on.
+type Options struct {
+	Port    int      // SIP port of all addresses; port+10 and port+20 are used too
+	Capture string   // file; "": none is kept
+	Dir     string   // for settings and logs of the gateways; "": a new one, removed when all went well
+	Edge    []string // command that runs a gateway; "--config FILE" is added
+	Module  string
+	Level   string
+	Say     func(string)
+}
+
+// Result is what a day came to.
+type Result struct {
+	Service  stage.Service
+	Findings []check.Finding
+	Totals   check.Totals
+	Exits    []string // gateways that did not end as they should
+	Lost     uint64   // datagrams that sockets did not take
+	Late     float64  // ms: the most that the stand-ins ran behind the clock
+	Dir      string
+}
+
+// Broken tells whether a rule was broken or a gateway ended badly.
+func (r *Result) Broken() bool { return len(r.Findings) > 0 || len(r.Exits) > 0 }
+
+type runner struct {
+	api.UnimplementedPoolListServer
+	o       Options
+	st      *stage.Stage
+	sockets *reactor.Sockets
+	list    net.Listener
+	server  *grpc.Server
+	mu      sync.Mutex
+	procs   []*process
+	follow  map[string]chan *api.Update
+	joined  chan string
+	running bool
+	relays  map[netip.AddrPort]int // where messages for a gateway come in
+}
+
+type process struct {
+	cmd    *exec.Cmd
+	log    *os.File
+	done   chan struct{}
+	err    error
+	killed bool
+}
+
+// Run puts a day on; it ends early when ctx does.
+func Run(ctx context.Context, s *script.Script, o Options) (res *Result, err error) {
+	r := &runner{o: o, follow: map[string]chan *api.Update{}, joined: make(chan string, 4096), relays: map[netip.AddrPort]int{}}
+	temp := o.Dir == ""
+	if temp {
+		if r.o.Dir, err = os.MkdirTemp("", "cobalt-day-"); err != nil {
+			return nil, fmt.Errorf("day: %w", err)
+		}
+	}
+	k := check.New()
+	var keep *capture.Writer
+	if o.Capture != "" {
+		f, err := os.Create(o.Capture)
+		if err != nil {
+			return nil, fmt.Errorf("day: capture: %w", err)
+		}
+		defer f.Close()
+		keep = capture.NewWriter(f)
+	}
+	// parsing what the checker needs must not hold the stand-ins up
+	records := make(chan *api.Record, 1<<16)
+	checked := make(chan error, 1)
+	go func() {
+		for rec := range records {
+			k.Add(rec)
+			if keep != nil {
+				keep.Add(rec)
+			}
+		}
+		if keep != nil {
+			checked <- keep.Flush()
+		} else {
+			checked <- nil
+		}
+	}()
+	r.st = stage.New(s, o.Port, func(rec *api.Record) { records <- rec })
+	r.st.Fleet = r
+	r.st.Say = func(at float64, what string) {
+		if o.Say != nil {
+			o.Say(fmt.Sprintf("%6.1f s  %s", at/1000, what))
+		}
+	}
+	if err := r.open(); err != nil {
+		close(records)
+		return nil, err
+	}
+	defer r.close()
+	for i := range r.st.Gateways {
+		if err := r.launch(i); err != nil {
+			close(records)
+			return nil, err
+		}
+	}
+	for range r.st.Gateways {
+		select {
+		case <-r.joined:
+		case <-ctx.Done():
+			close(records)
+			return nil, ctx.Err()
+		case <-time.After(20 * time.Second):
+			close(records)
+			return nil, fmt.Errorf("day: gateways do not come up; their logs are in %s", r.o.Dir)
+		}
+	}
+	w := r.st.World
+	w.Begin()
+	r.mu.Lock()
+	r.running = true
+	r.mu.Unlock()
+	for _, g := range r.st.Gateways {
+		r.st.Welcome(g, 0)
+	}
+	res = &Result{Dir: r.o.Dir}
+	r.progress(res)
+	w.RunReal(s.Length+12000, ctx.Done())
+	if o.Say != nil {
+		o.Say("the day is over; gateways drain")
+	}
+	r.mu.Lock()
+	r.running = false
+	procs := append([]*process{}, r.procs...)
+	r.mu.Unlock()
+	for _, p := range procs {
+		p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	ended := make(chan struct{})
+	go func() {
+		for _, p := range procs {
+			<-p.done
+		}
+		close(ended)
+	}()
+	w.RunReal(w.Now+30000, ended) // what they still send finds the switches
+	for i, p := range procs {
+		select {
+		case <-p.done:
+			if p.err != nil && !p.killed {
+				res.Exits = append(res.Exits, fmt.Sprintf("edge-%d: %v: %s", i, p.err, tail(p.log.Name())))
+			}
+		default:
+			p.cmd.Process.Kill()
+			<-p.done
+			res.Exits = append(res.Exits, fmt.Sprintf("edge-%d did not drain within 30 s", i))
+		}
+	}
+	close(records)
+	if err := <-checked; err != nil {
+		return nil, err
+	}
+	k.Finish()
+	res.Service, res.Findings, res.Totals, res.Lost = r.st.Service(), k.Findings, k.Totals, r.sockets.Lost.Load()
+	if temp && !res.Broken() {
+		os.RemoveAll(r.o.Dir)
+	}
+	return res, ctx.Err()
+}
+
+// open binds what the stand-ins need.
+func (r *runner) open() error {
+	st := r.st
+	addrs := st.Addresses()
+	for _, g := range st.Gateways {
+		relay := netip.AddrPortFrom(g.Addr.Addr(), uint16(r.o.Port+20))
+		r.relays[relay] = g.Number
+		addrs = append(addrs, relay)
+	}
+	var err error
+	r.sockets, err = reactor.Listen(addrs, 2, func(local, from netip.AddrPort, data []byte) {
+		if to, ok := r.relays[local]; ok {
+			r.relay(to, local, data)
+			return
+		}
+		st.World.Arrived(from, local, data)
+	})
+	if err != nil {
+		return fmt.Errorf("day: stand-ins: %w", err)
+	}
+	for _, g := range st.Gateways {
+		g.Node.Real = func(to, from netip.AddrPort, data []byte) { r.sockets.Send(from, to, data) }
+	}
+	if r.list, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return fmt.Errorf("day: pool list: %w", err)
+	}
+	r.server = grpc.NewServer()
+	api.RegisterPoolListServer(r.server, r)
+	go r.server.Serve(r.list)
+	return nil
+}
+
+// relay is the wire between gateways.
+func (r *runner) relay(to int, local netip.AddrPort, data []byte) {
+	if len(data) < 3 || int(binary.BigEndian.Uint16(data)) >= len(r.st.Gateways) {
+		return
+	}
+	r.st.World.Do(func() {
+		r.st.Tell(to, func(float64) { r.sockets.Send(local, r.st.Gateways[to].Peer, data) })
+	})
+}
+
+func (r *runner) close() {
+	r.mu.Lock()
+	procs := append([]*process{}, r.procs...)
+	r.mu.Unlock()
+	for _, p := range procs {
+		select {
+		case <-p.done:
+		default:
+			p.cmd.Process.Signal(syscall.SIGCONT)
+			p.cmd.Process.Kill()
+			<-p.done
+		}
+		p.log.Close()
+	}
+	if r.server != nil {
+		r.server.Stop()
+	}
+	if r.sockets != nil {
+		r.sockets.Close()
+	}
+}
+
+// launch starts a gateway's process.
+func (r *runner) launch(i int) error {
+	g := r.st.Gateways[i]
+	file := filepath.Join(r.o.Dir, g.Name+".hcl")
+	if err := os.WriteFile(file, []byte(r.settings(i)), 0o644); err != nil {
+		return fmt.Errorf("day: %w", err)
+	}
+	log, err := os.OpenFile(filepath.Join(r.o.Dir, g.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return fmt.Errorf("day: %w", err)
+	}
+	args := append(append([]string{}, r.o.Edge[1:]...), "--config", file, "--module", r.o.Module)
+	p := &process{cmd: exec.Command(r.o.Edge[0], args...), log: log, done: make(chan struct{})}
+	p.cmd.Stderr, p.cmd.Stdout = log, log
+	if err := p.cmd.Start(); err != nil {
+		return fmt.Errorf("day: start %s: %w", g.Name, err)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i < len(r.procs) {
+		r.procs[i] = p
+	} else {
+		r.procs = append(r.procs, p)
+	}
+	return nil
+}
+
+// settings writes a gateway's file.
+func (r *runner) settings(i int) string {
+	st := r.st
+	g, s := st.Gateways[i], st.Script
+	c := st.Config(g)
+	var b strings.Builder
+	p := func(format string, args ...any) { fmt.Fprintf(&b, format+"\n", args...) }
+	ms := func(v float64) string { return time.Duration(v * 1e6).String() }
+	p("gateway {\n  name = %q\n  sip = %q\n  peer = %q\n  trunk_context = %q\n  gateways = %d\n  number = %d\n  seed = %d", g.Name, g.Addr, g.Peer,
+		c.Context, c.Set.Gateways, g.Number, c.Set.Seed%(1<<53))
+	p("  tick = %q\n  margin = %q\n  most_held = %d\n  per_batch = %d\n  drain_within = \"5s\"\n  peers = [", ms(s.Gateways.Tick), ms(c.Margin), c.Gate.Most, c.Gate.PerBatch)
+	for _, o := range st.Gateways {
+		p("    %q,", netip.AddrPortFrom(o.Addr.Addr(), uint16(r.o.Port+20)))
+	}
+	p("  ]\n}\nlist {\n  addr = %q\n}\nlog {\n  level = %q\n}", r.list.Addr(), r.o.Level)
+	p("allow {\n  max_rings = %d\n  probe = %t\n  tell = %t\n  cancel = %t\n  name_wait = %t\n  max_wait = %q\n}", c.Set.MaxRings, c.Set.MayProbe,
+		c.Set.MayTell, c.Set.MayCancel, c.Set.MayWait, ms(c.Set.MaxWait))
+	p("timers {\n  t1 = %q\n  t2 = %q\n  t4 = %q\n}", ms(c.Times.T1), ms(c.Times.T2), ms(c.Times.T4))
+	p("rules {\n  slack = %q\n  clear_wait = %q\n  cold_share = %g\n  warm_within = %q\n  tip_multiple = %g\n  tip_time = %q\n}", ms(c.Set.Slack),
+		ms(c.Set.ClearWait), c.Set.ColdShare, ms(c.Set.WarmWithin), c.Set.TipMultiple, ms(c.Set.TipTime))
+	for _, k := range c.Set.Skills {
+		p("skill %q {\n  target = %q\n  patience = %q\n  value = %g\n  late_value = %g\n  hold = %q\n}", k.Name, ms(k.Target), ms(k.Patience), k.Value, k.LateValue, ms(k.Hold))
+	}
+	for _, k := range c.Set.Customers {
+		p("customer %q {\n}", k.Name)
+	}
+	for _, t := range c.Groups {
+		p("group %q {\n  pool = %d\n  size = %d\n}", t.Name, t.Pool, t.Size)
+	}
+	return b.String()
+}
+
+// Follow implements the pool list's service.
+func (r *runner) Follow(req *api.FollowRequest, stream grpc.ServerStreamingServer[api.Update]) error {
+	ch := make(chan *api.Update, 1024)
+	r.mu.Lock()
+	r.follow[req.Gateway] = ch
+	running := r.running
+	r.mu.Unlock()
+	if running {
+		r.st.World.Do(func() {
+			for _, g := range r.st.Gateways {
+				if g.Name == req.Gateway {
+					r.st.Welcome(g, req.Have)
+				}
+			}
+		})
+	} else {
+		select {
+		case r.joined <- req.Gateway:
+		default:
+		}
+	}
+	for {
+		select {
+		case u := <-ch:
+			if err := stream.Send(u); err != nil {
+				return err
+			}
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+// List implements stage.Fleet.
+func (r *runner) List(i int, u *api.Update) {
+	r.mu.Lock()
+	ch := r.follow[r.st.Gateways[i].Name]
+	r.mu.Unlock()
+	select {
+	case ch <- u:
+	default:
+	}
+}
+
+func (r *runner) process(i int) *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.procs[i]
+}
+
+// Halt implements stage.Fleet.
+func (r *runner) Halt(i int) { r.process(i).cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Go implements stage.Fleet.
+func (r *runner) Go(i int) { r.process(i).cmd.Process.Signal(syscall.SIGCONT) }
+
+// Kill implements stage.Fleet.
+func (r *runner) Kill(i int) {
+	p := r.process(i)
+	p.killed = true
+	p.cmd.Process.Kill()
+}
+
+// Start implements stage.Fleet.
+func (r *runner) Start(i int) {
+	<-r.process(i).done
+	if err := r.launch(i); err != nil && r.o.Say != nil {
+		r.o.Say(err.Error())
+	}
+}
+
+// progress tells how the day goes, and sees how far the stand-ins run behind the clock.
+func (r *runner) progress(res *Result) {
+	w := r.st.World
+	var tick func()
+	next := 5000.0
+	tick = func() {
+		if late := w.Wall() - w.Now; late > res.Late {
+			res.Late = late
+		}
+		if w.Now >= next && r.o.Say != nil {
+			next += 5000
+			sv := r.st.Service()
+			r.o.Say(fmt.Sprintf("%6.1f s  %d callers planned, %d stood in time, %d late, %d cut", w.Now/1000, sv.Offered, sv.Stood, sv.Late, sv.Cut))
+		}
+		w.At(w.Now+100, tick)
+	}
+	tick()
+}
+
+func tail(file string) string {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(b)), "\n")
+	return strings.Join(lines[max(0, len(lines)-2):], " / ")
+}
+
+// ErrBroken says that a day broke a rule.
+var ErrBroken = errors.New("a rule was broken")
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -4,6 +4,8 @@
 //tally:standin
 
 import (
+	"maps"
+	"slices"
 	"strings"
 
 	"cobaltpier/conf"
@@ -187,3 +189,6 @@
 	}
 	return s, b.Err()
 }
+
+// KindNames are the kinds of trouble in order.
+func KindNames() []string { return slices.Sorted(maps.Keys(Kinds)) }
--- a/lab/stage/virtual.go
+++ b/lab/stage/virtual.go
@@ -1,13 +1,12 @@
 package stage
 
 import (
-	"math"
 	"net/netip"
 
 	"cobaltpier/api"
-	"cobaltpier/contact"
 	"cobaltpier/edge"
 	"cobaltpier/host"
+	"cobaltpier/listing"
 )
 
 // Virtual runs the gateways as machines in the stage's own world.
@@ -92,24 +91,7 @@
 func (v *Virtual) List(i int, u *api.Update) {
 	b := v.Edges[i]
 	sent := v.Stage.World.Now
-	b.later(func(now float64) { b.Listed(now, Members(u, sent), u.Whole) })
-}
-
-// Members turns a list from the wire into an edge's; at is when it came, on the edge's clock.
-func Members(u *api.Update, at float64) []edge.Member {
-	var of []edge.Member
-	for _, m := range u.Members {
-		a, err := netip.ParseAddrPort(m.Addr)
-		if err != nil || m.Id == "" {
-			continue
-		}
-		e := edge.Member{ID: m.Id, Number: int(m.Number), State: contact.State(m.State), Addr: a}
-		if m.AgeMs >= 0 {
-			e.Since = math.Max(1e-3, at-m.AgeMs)
-		}
-		of = append(of, e)
-	}
-	return of
+	b.later(func(now float64) { b.Listed(now, listing.Members(u, sent), u.Whole) })
 }
 
 // Halt implements Fleet.
--- /dev/null
+++ b/labcmd/labcmd.go
@@ -0,0 +1,343 @@
+// Package labcmd is the command line of cobalt-lab, the laboratory: stand-ins, days of trouble, captures and verdicts.
+package labcmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cobaltpier/api"
+	"cobaltpier/brain"
+	"cobaltpier/capture"
+	"cobaltpier/check"
+	"cobaltpier/conf"
+	"cobaltpier/contact"
+	"cobaltpier/edgecmd"
+	"cobaltpier/host"
+	"cobaltpier/lab/baseline"
+	"cobaltpier/lab/day"
+	"cobaltpier/lab/script"
+	"cobaltpier/lab/stage"
+)
+
+// New is the command.
+func New() *cobra.Command {
+	root := &cobra.Command{Use: "cobalt-lab", Short: "The laboratory: stand-ins of switches and callers, days of trouble, verdicts",
+		Long: `cobalt-lab puts days on: stand-ins of core switches, callers and the pool list, gateways as processes of their own (or in
+virtual time), and a checker that judges the five rules from the traffic alone. The switches are models; their figures
+are of simulated servers.
+
+Start with "cobalt-lab try". Status 0: all went well; 1: something failed; 3: a rule was broken.`, SilenceUsage: true, SilenceErrors: true}
+	edge := edgecmd.New()
+	edge.Use, edge.Hidden = "edge", true
+	root.AddCommand(try(), dayCmd(), show(), judge(), throughput(), edge)
+	return root
+}
+
+// Status is the exit code for an error.
+func Status(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, day.ErrBroken):
+		return 3
+	}
+	return 1
+}
+
+type dayFlags struct {
+	virtual bool
+	seeds   int
+	seed    uint64
+	module  string
+	capture string
+	dir     string
+	port    int
+	level   string
+}
+
+func (f *dayFlags) add(c *cobra.Command) {
+	c.Flags().BoolVar(&f.virtual, "virtual", false, "in virtual time: no sockets, the same seed gives the same day")
+	c.Flags().IntVar(&f.seeds, "seeds", 1, "so many days, with seeds one after the other")
+	c.Flags().Uint64Var(&f.seed, "seed", 0, "the first seed, in place of the script's")
+	c.Flags().StringVar(&f.module, "module", "brain", "what decides: brain, or the baselines lottery and random; several with commas")
+	c.Flags().StringVar(&f.capture, "capture", "", "keep the traffic in this file (see cobalt-lab show)")
+	c.Flags().StringVar(&f.dir, "dir", "", "keep the gateways' settings and logs there")
+	c.Flags().IntVar(&f.port, "port", 15060, "SIP port of the addresses in 127.0.0.0/8; port+10 and port+20 are used too")
+	c.Flags().StringVar(&f.level, "log", "info", "log level of the gateways")
+}
+
+func try() *cobra.Command {
+	var f dayFlags
+	c := &cobra.Command{Use: "try", Short: "Put on a short day that comes with the program, with real sockets and processes", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := stage.Day("try")
+			if err != nil {
+				return err
+			}
+			return f.run(cmd, s)
+		}}
+	f.add(c)
+	return c
+}
+
+func dayCmd() *cobra.Command {
+	var f dayFlags
+	c := &cobra.Command{Use: "day SCRIPT.hcl", Short: "Put on a day from a script; \"trouble\" and \"try\" come with the program", Args: cobra.ExactArgs(1),
+		Example: "  cobalt-lab day trouble --seeds 10\n  cobalt-lab day my.hcl --virtual --module brain,lottery,random",
+		Long:    "Puts on a day from a script, prints how callers were served and the verdict on the five rules.\n\nTroubles that a script may name:\n" + kinds(),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var s *script.Script
+			if !strings.HasSuffix(args[0], ".hcl") {
+				var err error
+				if s, err = stage.Day(args[0]); err != nil {
+					return err
+				}
+				return f.run(cmd, s)
+			}
+			b, err := conf.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if s, err = script.Read(b); err != nil {
+				return err
+			}
+			return f.run(cmd, s)
+		}}
+	f.add(c)
+	return c
+}
+
+func kinds() string {
+	var b strings.Builder
+	for _, k := range script.KindNames() {
+		fmt.Fprintf(&b, "  %-9s %s\n", k, script.Kinds[k])
+	}
+	return b.String()
+}
+
+func (f *dayFlags) run(cmd *cobra.Command, s *script.Script) error {
+	ctx, cancel := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	out := cmd.OutOrStdout()
+	if f.seed > 0 {
+		s.Seed = f.seed
+	}
+	first, broken := s.Seed, false
+	if f.seeds > 1 || strings.Contains(f.module, ",") {
+		fmt.Fprintf(out, "%-8s %5s  %s\n", "module", "seed", serviceHead)
+	}
+	for i := 0; i < f.seeds; i++ {
+		for _, module := range strings.Split(f.module, ",") {
+			day := *s
+			day.Seed = first + uint64(i)
+			res, err := f.one(ctx, out, &day, module)
+			if err != nil {
+				return err
+			}
+			if f.seeds > 1 || strings.Contains(f.module, ",") {
+				fmt.Fprintf(out, "%-8s %5d  %s\n", module, day.Seed, line(res))
+				for k, v := range res.Findings {
+					if k < 3 && module == "brain" {
+						fmt.Fprintln(out, "  ", v)
+					}
+				}
+			} else {
+				report(out, res)
+			}
+			broken = broken || module == "brain" && res.Broken()
+		}
+	}
+	if broken {
+		return day.ErrBroken
+	}
+	return nil
+}
+
+func (f *dayFlags) one(ctx context.Context, out io.Writer, s *script.Script, module string) (*day.Result, error) {
+	mk := func(set *contact.Settings, h contact.Host) host.Module { return brain.New(set, h) }
+	if module != "brain" {
+		if mk = baseline.ByName(module); mk == nil {
+			return nil, fmt.Errorf("module %q: want brain, lottery or random", module)
+		}
+	}
+	if f.virtual {
+		return Virtual(s, mk, f.capture)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("own program: %w", err)
+	}
+	o := day.Options{Port: f.port, Capture: f.capture, Dir: f.dir, Edge: []string{self, "edge", "run"}, Module: module, Level: f.level}
+	if f.seeds == 1 {
+		o.Say = func(s string) { fmt.Fprintln(out, s) }
+		fmt.Fprintf(out, "day %q, seed %d: %d gateways, %d switches, %g contacts a second for %s\n", s.Name, s.Seed, s.Gateways.Count, s.Pools.Count,
+			s.Load.Rate, time.Duration(s.Length*1e6))
+	}
+	return day.Run(ctx, s, o)
+}
+
+// Virtual puts a day on in virtual time.
+func Virtual(s *script.Script, mk host.Maker, file string) (*day.Result, error) {
+	k := check.New()
+	var keep *capture.Writer
+	if file != "" {
+		f, err := os.Create(file)
+		if err != nil {
+			return nil, fmt.Errorf("capture: %w", err)
+		}
+		defer f.Close()
+		keep = capture.NewWriter(f)
+	}
+	st := stage.New(s, 5060, func(r *api.Record) {
+		k.Add(r)
+		if keep != nil {
+			keep.Add(r)
+		}
+	})
+	stage.NewVirtual(st, mk)
+	st.World.Run(s.Length + 12000)
+	k.Finish()
+	if keep != nil {
+		if err := keep.Flush(); err != nil {
+			return nil, err
+		}
+	}
+	return &day.Result{Service: st.Service(), Findings: k.Findings, Totals: k.Totals}, nil
+}
+
+const serviceHead = "whole  worst10s  worst skill            worst customer         offered   late    cut  unserved  p50 ms  p99 ms  rules"
+
+func line(r *day.Result) string {
+	s := r.Service
+	rules := "kept"
+	if r.Broken() {
+		rules = verdicts(r)
+	}
+	return fmt.Sprintf("%.3f     %.3f  %-15s %.3f  %-15.15s %.3f  %7d %6d %6d  %8d  %6.0f  %6.0f  %s", s.Whole, s.Worst10s, s.Skill, s.SkillShare, s.Customer,
+		s.CustomerShare, s.Offered, s.Late, s.Cut, s.Unserved, at(s.Waits, 0.5), at(s.Waits, 0.99), rules)
+}
+
+func at(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
+
+func verdicts(r *day.Result) string {
+	var n [6]int
+	for _, f := range r.Findings {
+		n[f.Rule]++
+	}
+	var parts []string
+	for i := 1; i <= 5; i++ {
+		if n[i] > 0 {
+			parts = append(parts, fmt.Sprintf("rule %d broken %d times", i, n[i]))
+		}
+	}
+	if len(r.Exits) > 0 {
+		parts = append(parts, fmt.Sprintf("%d gateways ended badly", len(r.Exits)))
+	}
+	return strings.Join(parts, ", ")
+}
+
+var ruleNames = [...]string{"", "one final answer for each contact, in time, nothing after", "never two rings out", "drains are kept",
+	"no cold switch is pushed over", "the release is awaited"}
+
+func report(out io.Writer, r *day.Result) {
+	s := r.Service
+	fmt.Fprintf(out, "\nService, of simulated switches (value that stood in time and was not cut, over value offered):\n")
+	fmt.Fprintf(out, "  whole day        %.3f\n  worst 10 s       %.3f\n  worst skill      %.3f  %s\n  worst customer   %.3f  %s\n", s.Whole, s.Worst10s,
+		s.SkillShare, s.Skill, s.CustomerShare, s.Customer)
+	fmt.Fprintf(out, "  callers          %d: %d stood in time, %d late, %d cut, %d unserved\n", s.Offered, s.Stood, s.Late, s.Cut, s.Unserved)
+	fmt.Fprintf(out, "  waits            p50 %.0f ms, p99 %.0f ms\n", at(s.Waits, 0.5), at(s.Waits, 0.99))
+	fmt.Fprintf(out, "  on the wire      %d datagrams, %d contacts, %d rings, %d repeats\n", r.Totals.Datagrams, r.Totals.Contacts, r.Totals.Rings, r.Totals.Repeats)
+	if r.Late > 0 {
+		fmt.Fprintf(out, "  stand-ins        at most %.0f ms behind the clock, %d datagrams lost by sockets\n", r.Late, r.Lost)
+	}
+	fmt.Fprintf(out, "\nThe five rules, judged from the traffic:\n")
+	var n [6]int
+	for _, f := range r.Findings {
+		n[f.Rule]++
+	}
+	for i := 1; i <= 5; i++ {
+		verdict := "kept"
+		if n[i] > 0 {
+			verdict = fmt.Sprintf("BROKEN %d times", n[i])
+		}
+		if i == 4 {
+			verdict += fmt.Sprintf(" (budget used to %.0f %%)", 100*r.Totals.ColdUse)
+		}
+		fmt.Fprintf(out, "  %d %-60s %s\n", i, ruleNames[i], verdict)
+	}
+	for i, f := range r.Findings {
+		if i < 10 {
+			fmt.Fprintln(out, "    ", f)
+		}
+	}
+	for _, e := range r.Exits {
+		fmt.Fprintln(out, "  gateway ended badly:", e)
+	}
+	if r.Broken() && r.Dir != "" {
+		fmt.Fprintln(out, "  settings and logs of the gateways are in", r.Dir)
+	}
+}
+
+func show() *cobra.Command {
+	var whole bool
+	var only string
+	c := &cobra.Command{Use: "show CAPTURE", Short: "Print a capture for a person to read", Args: cobra.ExactArgs(1),
+		Example: "  cobalt-lab show day.cap --only 8a1f03b2\n  cobalt-lab show day.cap --whole | less",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := os.Open(args[0])
+			if err != nil {
+				return fmt.Errorf("show: %w", err)
+			}
+			defer f.Close()
+			names := map[string]string{}
+			return capture.Read(f, func(r *api.Record) error {
+				text := capture.Text(r, names, whole)
+				if only == "" || strings.Contains(text, only) {
+					_, err := fmt.Fprintln(cmd.OutOrStdout(), text)
+					return err
+				}
+				return nil
+			})
+		}}
+	c.Flags().BoolVar(&whole, "whole", false, "whole messages, not a line each")
+	c.Flags().StringVar(&only, "only", "", "only records that hold this text, such as a part of a Session-ID")
+	return c
+}
+
+func judge() *cobra.Command {
+	return &cobra.Command{Use: "judge CAPTURE", Short: "Judge the five rules from a capture", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := os.Open(args[0])
+			if err != nil {
+				return fmt.Errorf("judge: %w", err)
+			}
+			defer f.Close()
+			k := check.New()
+			if err := capture.Read(f, k.Add); err != nil {
+				return err
+			}
+			k.Finish()
+			for _, v := range k.Findings {
+				fmt.Fprintln(cmd.OutOrStdout(), v)
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d contacts, %d rings, %d findings\n", k.Totals.Contacts, k.Totals.Rings, len(k.Findings))
+			if len(k.Findings) > 0 {
+				return day.ErrBroken
+			}
+			return nil
+		}}
+}
--- /dev/null
+++ b/listing/listing.go
@@ -0,0 +1,97 @@
+// Package listing follows the pool list over a gRPC stream (api/list.proto). A stream that breaks is opened again with
+// the version that was had; meanwhile whoever follows keeps the old list.
+package listing
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"cobaltpier/api"
+	"cobaltpier/contact"
+	"cobaltpier/edge"
+)
+
+// Waits between two tries to connect, doubling, each shortened by chance by up to half: gateways that lost the same
+// list must not all come back at once.
+const (
+	firstWait = 100 * time.Millisecond
+	longest   = 5 * time.Second
+)
+
+// Follow calls got with every update, in order, until ctx ends. state hears of connections and breaks; it may be nil.
+func Follow(ctx context.Context, addr, gateway string, got func(*api.Update), state func(up bool, err error)) error {
+	conn, err := grpc.NewClient(addr, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 5 * time.Second}))
+	if err != nil {
+		return fmt.Errorf("pool list at %s: %w", addr, err)
+	}
+	defer conn.Close()
+	client := api.NewPoolListClient(conn)
+	var have uint64
+	wait := firstWait
+	for ctx.Err() == nil {
+		stream, err := client.Follow(ctx, &api.FollowRequest{Gateway: gateway, Have: have}, grpc.WaitForReady(true))
+		for first := true; err == nil; first = false {
+			var u *api.Update
+			if u, err = stream.Recv(); err != nil {
+				break
+			}
+			if first {
+				wait = firstWait
+				if state != nil {
+					state(true, nil)
+				}
+			}
+			if !u.Whole && u.Version <= have {
+				continue // had already
+			}
+			if !u.Whole && u.Version != have+1 { // one is missing: ask for the whole list
+				err = fmt.Errorf("update %d came after %d", u.Version, have)
+				have = 0
+				break
+			}
+			have = u.Version
+			got(u)
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if state != nil {
+			state(false, err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait/2 + time.Duration(rand.Int64N(int64(wait/2)))):
+		}
+		wait = min(2*wait, longest)
+	}
+	return nil
+}
+
+// Members turns a list from the wire into an edge's; at is when it came, on the edge's clock. Lines without an id or
+// with an address that is none are passed over.
+func Members(u *api.Update, at float64) []edge.Member {
+	var of []edge.Member
+	for _, m := range u.Members {
+		a, err := netip.ParseAddrPort(m.Addr)
+		if err != nil || m.Id == "" || m.State < api.State_GONE || m.State > api.State_DRAINING {
+			continue
+		}
+		e := edge.Member{ID: m.Id, Number: int(m.Number), State: states[m.State], Addr: a}
+		if m.AgeMs >= 0 && !math.IsInf(m.AgeMs, 1) {
+			e.Since = math.Max(1e-3, at-m.AgeMs)
+		}
+		of = append(of, e)
+	}
+	return of
+}
+
+var states = map[api.State]contact.State{api.State_GONE: contact.Gone, api.State_READY: contact.Ready, api.State_DRAINING: contact.Draining}
--- /dev/null
+++ b/reactor/reactor.go
@@ -0,0 +1,111 @@
+// Package reactor is the driver of UDP sockets, on nbio: every datagram that comes is handed on with the address that
+// it came to; datagrams are sent from any of the addresses that are listened on.
+package reactor
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// Sockets are open UDP sockets.
+type Sockets struct {
+	engine *nbio.Engine
+	mu     sync.Mutex
+	out    map[netip.AddrPort]*net.UDPConn
+	Lost   atomic.Uint64 // datagrams that the kernel did not take
+}
+
+// readBuffer is what a socket may hold for us while the loop is busy; the kernel may allow less.
+const readBuffer = 4 << 20
+
+var quiet = sync.OnceFunc(func() { logging.SetLevel(logging.LevelNone) })
+
+// Listen opens the addresses. got is called from the pollers, for one address always from the same one; the data is
+// its own. An address that can't be had is an error that names it.
+func Listen(addrs []netip.AddrPort, pollers int, got func(local, from netip.AddrPort, data []byte)) (*Sockets, error) {
+	quiet()
+	s := &Sockets{out: map[netip.AddrPort]*net.UDPConn{}}
+	var names []string
+	for _, a := range addrs {
+		names = append(names, a.String())
+	}
+	s.engine = nbio.NewEngine(nbio.Config{Name: "cobalt", Network: "udp", Addrs: names, NPoller: pollers, ReadBufferSize: 1 << 16,
+		ListenUDP: s.listen})
+	s.engine.OnData(func(c *nbio.Conn, data []byte) {
+		from, ok := c.RemoteAddr().(*net.UDPAddr)
+		local, ok2 := c.LocalAddr().(*net.UDPAddr)
+		if ok && ok2 {
+			got(plain(local.AddrPort()), plain(from.AddrPort()), append([]byte(nil), data...))
+		}
+	})
+	if err := s.engine.Start(); err != nil {
+		s.closeOut()
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	return s, nil
+}
+
+func plain(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
+
+// listen opens a socket and keeps a second handle of it for sending: the library's own can only answer.
+func (s *Sockets) listen(network string, addr *net.UDPAddr) (*net.UDPConn, error) {
+	c, err := net.ListenUDP(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	_ = c.SetReadBuffer(readBuffer) // as much as the kernel allows
+	f, err := c.File()
+	if err != nil {
+		c.Close()
+		return nil, fmt.Errorf("%s: second handle: %w", addr, err)
+	}
+	defer f.Close()
+	p, err := net.FilePacketConn(f)
+	if err != nil {
+		c.Close()
+		return nil, fmt.Errorf("%s: second handle: %w", addr, err)
+	}
+	s.mu.Lock()
+	s.out[plain(c.LocalAddr().(*net.UDPAddr).AddrPort())] = p.(*net.UDPConn)
+	s.mu.Unlock()
+	return c, nil
+}
+
+// Send sends a datagram from an address that is listened on. What the kernel does not take is counted in Lost, as the
+// network may lose any datagram.
+func (s *Sockets) Send(from, to netip.AddrPort, data []byte) {
+	c := s.out[from]
+	if c == nil {
+		s.Lost.Add(1)
+		return
+	}
+	if _, err := c.WriteToUDPAddrPort(data, to); err != nil {
+		s.Lost.Add(1)
+	}
+}
+
+// Close closes all sockets.
+func (s *Sockets) Close() {
+	s.engine.Stop()
+	s.closeOut()
+}
+
+func (s *Sockets) closeOut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.out {
+		c.Close()
+	}
+}
+
+// Taken tells whether an error of Listen says that an address is in use by somebody else.
+func Taken(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "address already in use")
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,138 @@
+// Package settings reads an edge's settings: one HCL file, checked as a whole, faults told with file and line.
+package settings
+
+import (
+	"net/netip"
+
+	"cobaltpier/conf"
+	"cobaltpier/contact"
+	"cobaltpier/edge"
+	"cobaltpier/intake"
+	"cobaltpier/signal"
+)
+
+// Edge is all that cobalt-edge is told. Times are milliseconds.
+type Edge struct {
+	edge.Config
+	Peer        netip.AddrPort   // where other gateways' messages come in
+	Peers       []netip.AddrPort // of all gateways, by number
+	List        string           // the pool list's address
+	Tick        float64
+	Level       string // of the log
+	Console     bool   // logs for a person, not JSON
+	DrainWithin float64
+	Queue       int // datagrams that may wait for the loop
+}
+
+const day = 24 * 3600 * 1000.0
+
+// Load reads a file.
+func Load(name string) (*Edge, error) {
+	b, err := conf.Load(name)
+	if err != nil {
+		return nil, err
+	}
+	return read(b)
+}
+
+// Parse reads settings at hand; name stands in the errors.
+func Parse(name string, src []byte) (*Edge, error) {
+	b, err := conf.Parse(name, src)
+	if err != nil {
+		return nil, err
+	}
+	return read(b)
+}
+
+func read(b *conf.Block) (*Edge, error) {
+	s, set := &Edge{}, &contact.Settings{}
+	s.Set = set
+	g := b.One("gateway")
+	s.Name = g.Must("name")
+	s.Self, s.Peer = g.Addr("sip"), g.Addr("peer")
+	s.Context = g.Must("trunk_context")
+	set.Gateways = g.Int("gateways", 1, 1, 100000)
+	set.Me = g.Int("number", 0, 0, 99999)
+	set.Seed = uint64(g.Num("seed", 1, 0, 1<<53))
+	s.Tick = g.Ms("tick", 1, 0.05, 1000)
+	set.Tick = s.Tick
+	s.Margin = g.Ms("margin", 30, 0, 60000)
+	s.Gate = intake.Gate{Most: g.Int("most_held", 20000, 1, 1<<24), PerBatch: g.Int("per_batch", 0, 0, 1<<20)}
+	s.Queue = g.Int("queue", 8192, 16, 1<<20)
+	s.DrainWithin = g.Ms("drain_within", 30000, 0, day)
+	s.Default = g.Text("default_skill", "")
+	if set.Me >= set.Gateways {
+		g.Fault("number", "number: want one below gateways = %d, got %d", set.Gateways, set.Me)
+	}
+	for _, p := range g.Texts("peers") {
+		a, err := netip.ParseAddrPort(p)
+		if err != nil {
+			g.Fault("peers", "peers: want addresses such as \"127.0.0.1:5070\", got %q", p)
+		}
+		s.Peers = append(s.Peers, a)
+	}
+	l := b.One("list")
+	s.List = l.Must("addr")
+	o := b.One("log")
+	s.Level = o.Text("level", "info", "debug", "info", "warn", "error")
+	s.Console = o.Text("form", "json", "json", "console") == "console"
+	m := b.One("allow")
+	set.MaxRings = m.Int("max_rings", 5, 1, 1000)
+	set.MayProbe, set.MayTell = m.Flag("probe", false), m.Flag("tell", len(s.Peers) > 0)
+	set.MayCancel, set.MayWait = m.Flag("cancel", true), m.Flag("name_wait", true)
+	set.MaxWait = m.Ms("max_wait", 2000, 0, day)
+	set.ByProbe = m.Flag("reports_by_probe", false)
+	if set.MayTell && len(s.Peers) != set.Gateways {
+		g.Fault("peers", "peers: want the addresses of all %d gateways where allow.tell is set, got %d", set.Gateways, len(s.Peers))
+	}
+	t := b.One("timers")
+	t1 := t.Ms("t1", 500, 10, 60000)
+	s.Times = signal.Times{T1: t1, T2: t.Ms("t2", 8*t1, 10, 600000), T4: t.Ms("t4", 5000, 10, 600000)}
+	set.Retransmit = t1
+	r := b.One("rules")
+	set.Slack = r.Ms("slack", 20, 0, 10000)
+	set.ClearWait = r.Ms("clear_wait", conf.Required, 0, 60000)
+	set.ColdShare = r.Num("cold_share", conf.Required, 0.001, 1)
+	set.WarmWithin = r.Ms("warm_within", conf.Required, 0, day)
+	set.TipMultiple = r.Num("tip_multiple", conf.Required, 0, 1000)
+	set.TipTime = r.Ms("tip_time", conf.Required, 1, day)
+	for _, k := range b.Blocks("skill", 1) {
+		x := &contact.Skill{Name: k.Labels[0], Target: k.Ms("target", conf.Required, 1, day), Patience: k.Ms("patience", conf.Required, 1, day),
+			Value: k.Num("value", 1, 0, 1e9), LateValue: k.Num("late_value", 0, 0, 1), Hold: k.Ms("hold", 0, 0, day), Repeat: k.Flag("repeat", true)}
+		if x.Target > x.Patience {
+			k.Fault("target", "target: want no more than patience")
+		}
+		set.Skills = append(set.Skills, x)
+	}
+	if len(set.Skills) == 0 {
+		b.Fault("", "want at least one skill \"NAME\" { ... }")
+	} else if s.Default == "" {
+		s.Default = set.Skills[0].Name
+	}
+	names := map[string]bool{}
+	for _, k := range set.Skills {
+		names[k.Name] = true
+	}
+	if len(set.Skills) > 0 && !names[s.Default] {
+		g.Fault("default_skill", "default_skill: want one of the skills, got %q", s.Default)
+	}
+	for _, c := range b.Blocks("customer", 1) {
+		set.Customers = append(set.Customers, &contact.Customer{Name: c.Labels[0]})
+	}
+	pools := map[int]string{}
+	for _, x := range b.Blocks("group", 1) {
+		n := edge.Group{Name: x.Labels[0], Pool: x.Int("pool", -1, 0, 1<<30), Size: x.Int("size", -1, 1, 1<<20)}
+		if !x.Has("pool") || !x.Has("size") {
+			x.Fault("", "group %q: want pool and size", n.Name)
+		}
+		if o := pools[n.Pool]; o != "" {
+			x.Fault("pool", "pool %d has a group already, %q", n.Pool, o)
+		}
+		pools[n.Pool] = n.Name
+		s.Groups = append(s.Groups, n)
+	}
+	if len(s.Groups) == 0 {
+		b.Fault("", "want at least one group \"NAME\" { pool = ..., size = ... }")
+	}
+	return s, b.Err()
+}
