Tests: hard cases of a call, guards on and off, hand-made captures of each rule

For each rule a module that breaks it: held with the edge's guard on, and found by the checker with that guard off; rule 4 with the module's budget off. The edge keeps the clear wait itself now: the module's own note was no second guard.

--- a/edge/caller.go
+++ b/edge/caller.go
@@ -41,7 +41,8 @@
 	payer   string // host of the caller's address
 	trunk   *leg   // whose ring is out or stands
 	overdue *clock.Timer
-	rang    bool // the caller was told that it rings
+	rang    bool    // the caller was told that it rings
+	clear   float64 // rule 5: no send before this
 }
 
 // invited takes an INVITE: decoded fields go straight into a contact. It is offered by the next Wake.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,6 +51,7 @@
 	Default string  // the skill of a call that names none
 	Margin  float64 // ms: final answers leave so long before the caller's patience ends
 	Gate    intake.Gate
+	Off     [6]bool // guards that are switched off, by rule: only to show that the checker sees what they prevent
 }
 
 // Member is one line of the pool list.
@@ -233,7 +234,9 @@
 // one of them passes here. What is barred comes back as never sent.
 func (e *Edge) Ring(c *contact.Contact, p *contact.Pool, limit float64) {
 	k := c.ID.(*call)
-	barred := k.trunk != nil || k.Over || e.now < c.NotTill || p.State != contact.Ready || e.now > c.Until
+	off := &e.cfg.Off
+	barred := !off[1] && (k.Over || e.now > c.Until) || !off[2] && k.trunk != nil ||
+		!off[3] && p.State != contact.Ready || !off[5] && e.now < k.clear
 	r := k.Ring(p, e.now)
 	e.Counts.Rings++
 	g := e.groups[p.Number]
--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,445 @@
+package edge
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/emiago/sipgo/sip"
+
+	"cobaltpier/contact"
+	"cobaltpier/host"
+	"cobaltpier/intake"
+	"cobaltpier/signal"
+)
+
+var (
+	self    = netip.MustParseAddrPort("127.0.0.1:5060")
+	caller  = netip.MustParseAddrPort("127.0.0.2:5060")
+	switchA = netip.MustParseAddrPort("127.0.0.3:5060")
+	switchB = netip.MustParseAddrPort("127.0.0.4:5060")
+)
+
+// mind is a module that a test plays by hand.
+type mind struct {
+	h       contact.Host
+	pools   []*contact.Pool
+	offered func(now float64, c *contact.Contact)
+	ended   func(now float64, r *contact.Ring)
+	woken   func(now float64, c *contact.Contact)
+	heard   []string
+}
+
+func (m *mind) Listed(_ float64, ps []*contact.Pool) {
+	if m.pools == nil {
+		m.pools = ps
+	}
+}
+func (m *mind) Offered(now float64, c *contact.Contact) { m.offered(now, c) }
+func (m *mind) Stood(_ float64, r *contact.Ring)        { m.heard = append(m.heard, "stood") }
+func (m *mind) Ended(now float64, r *contact.Ring, closed bool) {
+	m.heard = append(m.heard, fmt.Sprintf("ended %d closed %v wait %v", r.End, closed, r.Wait))
+	if m.ended != nil {
+		m.ended(now, r)
+	}
+}
+func (m *mind) Left(float64, *contact.Contact) { m.heard = append(m.heard, "left") }
+func (m *mind) Reported(_ float64, p *contact.Pool, ok, full bool) {
+	m.heard = append(m.heard, fmt.Sprintf("report %v %v", ok, full))
+}
+func (m *mind) Told(float64, int, []byte) {}
+func (m *mind) Woken(now float64, c *contact.Contact) {
+	if m.woken != nil {
+		m.woken(now, c)
+	}
+}
+
+type packet struct {
+	to   netip.AddrPort
+	data string
+}
+
+// rig is an edge with a hand-played module and wire.
+type rig struct {
+	*testing.T
+	e    *Edge
+	m    *mind
+	now  float64
+	out  []packet
+	said int
+}
+
+func (r *rig) Send(to netip.AddrPort, data []byte) { r.out = append(r.out, packet{to, string(data)}) }
+func (r *rig) Tell(int, []byte)                    {}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{T: t, m: &mind{}, now: 1e6}
+	set := &contact.Settings{Gateways: 1, Seed: 3, Tick: 1, MaxRings: 5, MayCancel: true, MayWait: true, ClearWait: 500, Slack: 20,
+		Skills: []*contact.Skill{{Name: "shift-lookup", Target: 2000, Patience: 9000, Value: 1}, {Name: "claim", Target: 1000, Patience: 6000, Value: 5}}}
+	r.e = New(&Config{Name: "e", Self: self, Context: "x.example", Set: set, Times: signal.Times{T1: 400, T2: 3200, T4: 5000}, Default: "shift-lookup",
+		Groups: []Group{{Name: "TG-0", Pool: 0, Size: 10}, {Name: "TG-1", Pool: 1, Size: 10}}, Gate: intake.Gate{Most: 100}},
+		func(_ *contact.Settings, h contact.Host) host.Module { r.m.h = h; return r.m }, r)
+	r.m.offered = func(now float64, c *contact.Contact) { r.m.h.Ring(c, r.m.pools[0], c.Until-now) }
+	r.list(contact.Ready)
+	return r
+}
+
+func (r *rig) list(a contact.State) {
+	r.e.Listed(r.now, []Member{{ID: "a", Number: 0, State: a, Addr: switchA}, {ID: "b", Number: 1, State: contact.Ready, Addr: switchB}}, true)
+}
+
+func (r *rig) pass(ms float64) {
+	for end := r.now + ms; r.now < end; {
+		r.now++
+		r.e.Wake(r.now)
+	}
+}
+
+// get is what a caller or switch sends.
+func (r *rig) get(from netip.AddrPort, text string) {
+	head, body, _ := strings.Cut(text, "\n\n")
+	r.e.Receive(r.now, from, []byte(strings.ReplaceAll(head, "\n", "\r\n")+"\r\n\r\n"+body))
+	r.e.Wake(r.now)
+}
+
+func callerSays(method, id, more string) string {
+	n := "1 " + method
+	if method == "BYE" {
+		n = "2 BYE"
+	}
+	branch := id
+	if method == "BYE" || method == "ACK" {
+		branch += method
+	}
+	return method + " sip:+14185550123;tgrp=TG-0;trunk-context=x.example@127.0.0.1 SIP/2.0\nVia: SIP/2.0/UDP 127.0.0.2:5060;rport;branch=z9hG4bK" + branch +
+		"\nFrom: <sip:staff@epicerie.example>;tag=c" + id + "\nTo: <sip:+14185550123@127.0.0.1>" + more + "\nCall-ID: " + id + "\nCSeq: " + n +
+		"\nContact: <sip:127.0.0.2:5060>\nMax-Forwards: 70\nSession-ID: " + strings.Repeat(id[:1], 32) + ";remote=" + strings.Repeat("0", 32) +
+		"\nExpires: 9\nContent-Length: 0"
+}
+
+// sent waits for the next message to somebody that begins with a text, and fails without one.
+func (r *rig) sent(to netip.AddrPort, begins string) sip.Message {
+	r.Helper()
+	for ; r.said < len(r.out); r.said++ {
+		p := r.out[r.said]
+		if p.to == to && strings.HasPrefix(p.data, begins) {
+			r.said++
+			m, err := signal.Parse([]byte(p.data))
+			if err != nil {
+				r.Fatalf("%q: %v", p.data, err)
+			}
+			return m
+		}
+	}
+	var all []string
+	for _, p := range r.out {
+		l, _, _ := strings.Cut(p.data, "\r\n")
+		all = append(all, p.to.String()+" "+l)
+	}
+	r.Fatalf("nothing to %v begins with %q; sent:\n%s", to, begins, strings.Join(all, "\n"))
+	return nil
+}
+
+// count is how many messages to somebody begin with a text.
+func (r *rig) count(to netip.AddrPort, begins string) (n int) {
+	for _, p := range r.out {
+		if p.to == to && strings.HasPrefix(p.data, begins) {
+			n++
+		}
+	}
+	return n
+}
+
+// answer is a switch's answer to a request.
+func (r *rig) answer(from netip.AddrPort, to sip.Message, code int, tag, more string) {
+	res := signal.Response(to.(*sip.Request), code, "X", tag)
+	if code == 200 && to.(*sip.Request).Method == sip.INVITE {
+		res.AppendHeader(&sip.ContactHeader{Address: sip.Uri{Scheme: "sip", Host: from.Addr().String(), Port: int(from.Port())}})
+	}
+	if k, v, ok := strings.Cut(more, ": "); ok {
+		res.AppendHeader(sip.NewHeader(k, v))
+	}
+	r.e.Receive(r.now, from, []byte(res.String()))
+	r.e.Wake(r.now)
+}
+
+func (r *rig) heard(want ...string) {
+	r.Helper()
+	if got := strings.Join(r.m.heard, ", "); got != strings.Join(want, ", ") {
+		r.Errorf("the module heard %s, want %s", got, strings.Join(want, ", "))
+	}
+}
+
+// A whole call, with the load report, and its release by the caller.
+func TestCall(t *testing.T) {
+	r := newRig(t)
+	r.get(caller, callerSays("INVITE", "1a", ""))
+	inv := r.sent(switchA, "INVITE sip:+14185550123;tgrp=TG-0;trunk-context=x.example@127.0.0.3")
+	r.sent(caller, "SIP/2.0 100")
+	if s := signal.Session(inv.(*sip.Request)); s != strings.Repeat("1", 32) {
+		t.Errorf("Session-ID %q on the trunk", s)
+	}
+	r.answer(switchA, inv, 180, "s1", "Cobalt-Load: util=0.5;queue=3;lines=90;free=80")
+	r.sent(caller, "SIP/2.0 180")
+	r.pass(50)
+	r.answer(switchA, inv, 200, "s1", "")
+	r.sent(switchA, "ACK ")
+	ok := r.sent(caller, "SIP/2.0 200")
+	tag := ";tag=" + signal.Tag(ok.To().Params)
+	if p := r.m.pools[0].Report; p.Util != 0.5 || p.Queue != 3 || p.Agents != 90 || p.Free != 80 {
+		t.Errorf("report %+v", p)
+	}
+	r.pass(900)
+	if n := r.count(caller, "SIP/2.0 200"); n != 2 {
+		t.Errorf("200 sent %d times in 900 ms without an ACK, want 2", n)
+	}
+	r.get(caller, callerSays("ACK", "1a", tag))
+	r.answer(switchA, inv, 200, "s1", "") // the switch did not get our ACK
+	if n := r.count(switchA, "ACK "); n != 2 {
+		t.Errorf("%d ACKs to the switch, want 2", n)
+	}
+	r.pass(3000)
+	if n := r.count(caller, "SIP/2.0 200"); n != 2 {
+		t.Errorf("200 repeated after its ACK")
+	}
+	r.get(caller, callerSays("BYE", "1a", tag))
+	r.sent(switchA, "BYE ")
+	r.heard("report true true", "stood", "ended 0 closed true wait 0")
+	if w, s := r.e.Held(); w != 0 || s != 0 {
+		t.Errorf("held %d, standing %d", w, s)
+	}
+	r.pass(40000)
+	if d, x, timers := r.e.Open(); d+x+timers != 0 {
+		t.Errorf("left over: %d dialogs, %d transactions, %d timers", d, x, timers)
+	}
+}
+
+// CANCEL and 200 cross: the call that stood is acknowledged and released, and nothing rings before the clear wait.
+func TestCancelCrosses200(t *testing.T) {
+	r := newRig(t)
+	r.m.ended = func(now float64, x *contact.Ring) { r.m.h.Wake(now+1, x.Contact) }
+	r.m.woken = func(now float64, c *contact.Contact) {
+		if !c.Over && c.Out == nil {
+			r.m.h.Ring(c, r.m.pools[1], c.Until-now) // before the clear wait is over: barred
+			r.m.h.Wake(now+100, c)
+		}
+	}
+	r.get(caller, callerSays("INVITE", "2a", ""))
+	inv := r.sent(switchA, "INVITE")
+	r.answer(switchA, inv, 180, "s", "")
+	r.m.h.Cancel(r.e.ends[signal.Tag(inv.From().Params)].leg.ring)
+	r.sent(switchA, "CANCEL")
+	r.pass(10)
+	if r.count(switchB, "INVITE") != 0 {
+		t.Error("second ring while the first was out")
+	}
+	r.answer(switchA, inv, 200, "s", "")
+	r.sent(switchA, "ACK")
+	bye := r.sent(switchA, "BYE")
+	if tag := signal.Tag(bye.To().Params); tag != "s" {
+		t.Errorf("BYE to tag %q", tag)
+	}
+	r.pass(480)
+	if r.count(switchB, "INVITE") != 0 {
+		t.Error("ring before the clear wait was over")
+	}
+	r.pass(200)
+	if r.count(switchB, "INVITE") != 1 {
+		t.Error("no ring after the clear wait")
+	}
+}
+
+// A 200 after the time-out: the caller has its answer, the call that stood is released.
+func TestLate200(t *testing.T) {
+	r := newRig(t)
+	r.m.ended = func(_ float64, x *contact.Ring) {
+		if !x.Contact.Over {
+			r.m.h.Abandon(x.Contact)
+		}
+	}
+	r.get(caller, callerSays("INVITE", "3a", ""))
+	inv := r.sent(switchA, "INVITE")
+	r.pass(8999)
+	if r.count(caller, "SIP/2.0 500") != 0 {
+		t.Error("answered before its time")
+	}
+	r.pass(2)
+	r.sent(caller, "SIP/2.0 500")
+	n := r.count(switchA, "INVITE")
+	r.answer(switchA, inv, 200, "s", "")
+	r.sent(switchA, "ACK")
+	r.sent(switchA, "BYE")
+	r.pass(20000)
+	if m := r.count(switchA, "INVITE"); m != n {
+		t.Errorf("%d set-ups repeated after the answer", m-n)
+	}
+	if r.count(caller, "SIP/2.0 200") != 0 {
+		t.Error("a second final answer")
+	}
+	r.heard("ended 3 closed false wait 0")
+}
+
+// The time-out before any answer: RFC 3261 9.1 forbids the CANCEL till a provisional one comes, and then asks for it.
+func TestCancelWaitsForProvisional(t *testing.T) {
+	r := newRig(t)
+	r.get(caller, callerSays("INVITE", "4a", ""))
+	inv := r.sent(switchA, "INVITE")
+	r.get(caller, callerSays("CANCEL", "4a", ""))
+	r.sent(caller, "SIP/2.0 200")
+	r.sent(caller, "SIP/2.0 487")
+	if r.count(switchA, "CANCEL") != 0 {
+		t.Error("CANCEL before a provisional answer")
+	}
+	r.answer(switchA, inv, 180, "s", "")
+	r.sent(switchA, "CANCEL")
+	r.answer(switchA, inv, 487, "s", "")
+	r.sent(switchA, "ACK")
+	r.heard("left", "ended 6 closed true wait 0")
+}
+
+// The caller calls off while its contact is in the clear wait.
+func TestCallerLeavesInClearWait(t *testing.T) {
+	r := newRig(t)
+	r.m.ended = func(now float64, x *contact.Ring) { r.m.h.Wake(now+500, x.Contact) }
+	r.m.woken = func(now float64, c *contact.Contact) { r.m.h.Ring(c, r.m.pools[1], 100) }
+	r.get(caller, callerSays("INVITE", "5a", ""))
+	inv := r.sent(switchA, "INVITE")
+	r.answer(switchA, inv, 408, "s", "")
+	r.pass(100)
+	r.get(caller, callerSays("CANCEL", "5a", ""))
+	r.sent(caller, "SIP/2.0 487")
+	r.pass(2000) // the module rings all the same: barred
+	if r.count(switchB, "INVITE") != 0 {
+		t.Error("a ring after the final answer")
+	}
+}
+
+// 503 with a Retry-After, in seconds and with the exact wait; "no line here" and "busy everywhere".
+func TestRefusals(t *testing.T) {
+	for i, x := range []struct {
+		code       int
+		more, want string
+	}{
+		{503, "Retry-After: 3600", "ended 2 closed false wait 3.6e+06"},
+		{503, "Retry-After: 1;ms=250", "ended 2 closed false wait 250"},
+		{503, "Retry-After: 2 (in a while);duration=10", "ended 2 closed false wait 2000"},
+		{503, "Retry-After: soon", "ended 2 closed false wait 0"},
+		{486, "", "ended 2 closed false wait 0"},
+		{600, "", "ended 1 closed false wait 0"},
+		{302, "Contact: <sip:127.0.0.9>", "ended 1 closed false wait 0"},
+	} {
+		r := newRig(t)
+		r.m.ended = func(_ float64, x *contact.Ring) { r.m.h.Defer(x.Contact, 300) }
+		r.get(caller, callerSays("INVITE", fmt.Sprintf("%da", i+1), ""))
+		r.answer(switchA, r.sent(switchA, "INVITE"), x.code, "s", x.more)
+		r.sent(switchA, "ACK")
+		r.heard(x.want)
+		if res := r.sent(caller, "SIP/2.0 503").(*sip.Response); signal.Wait(signal.Field(res, signal.RetryAfter)) != 300 {
+			t.Errorf("caller told to wait %q", signal.Field(res, signal.RetryAfter))
+		}
+	}
+}
+
+// A drain that is heard while a set-up waits unanswered: it is not repeated there, for that could be its first arrival.
+func TestDrainStopsRepeats(t *testing.T) {
+	r := newRig(t)
+	r.get(caller, callerSays("INVITE", "6a", ""))
+	r.pass(500)
+	if n := r.count(switchA, "INVITE"); n != 2 {
+		t.Fatalf("%d set-ups in 500 ms, want 2", n)
+	}
+	r.list(contact.Draining)
+	r.pass(5000)
+	if n := r.count(switchA, "INVITE"); n != 2 {
+		t.Errorf("%d set-ups repeated to a pool that drains", n-2)
+	}
+}
+
+// A switch that restarted does not know the dialog: 481 to our BYE ends it all the same; and its own BYE for a cut call
+// is told as a reset and passed on with its reason.
+func TestSwitchForgets(t *testing.T) {
+	r := newRig(t)
+	stand := func(id string) (inv sip.Message, tag string) {
+		r.get(caller, callerSays("INVITE", id, ""))
+		inv = r.sent(switchA, "INVITE")
+		r.answer(switchA, inv, 200, "s"+id, "")
+		tag = ";tag=" + signal.Tag(r.sent(caller, "SIP/2.0 200").To().Params)
+		r.get(caller, callerSays("ACK", id, tag))
+		return inv, tag
+	}
+	_, tag := stand("7a")
+	r.get(caller, callerSays("BYE", "7a", tag))
+	r.answer(switchA, r.sent(switchA, "BYE"), 481, "", "")
+	inv, _ := stand("8a")
+	r.get(switchA, "BYE sip:127.0.0.1 SIP/2.0\nVia: SIP/2.0/UDP 127.0.0.3:5060;branch=z9hG4bKx\nFrom: <sip:x@y>;tag=s8a\nTo: <sip:a@b>;tag="+
+		signal.Tag(inv.From().Params)+"\nCall-ID: "+string(*inv.CallID())+"\nCSeq: 1 BYE\nReason: Q.850;cause=41\nContent-Length: 0")
+	if bye := r.sent(caller, "BYE").(*sip.Request); !strings.Contains(signal.Field(bye, signal.Reason), "cause=41") {
+		t.Errorf("reason %q to the caller", signal.Field(bye, signal.Reason))
+	}
+	r.heard("stood", "ended 0 closed true wait 0", "stood", "ended 5 closed true wait 0")
+	r.get(caller, callerSays("BYE", "8a", ";tag=nobody"))
+	r.sent(caller, "SIP/2.0 481")
+}
+
+// One caller's INVITE that comes over two ways is one contact: the second is told 482 (RFC 3261 8.2.2.2).
+func TestMergedRequests(t *testing.T) {
+	r := newRig(t)
+	r.get(caller, callerSays("INVITE", "9a", ""))
+	r.get(caller, strings.Replace(callerSays("INVITE", "9a", ""), "z9hG4bK9a", "z9hG4bKother", 1))
+	r.sent(caller, "SIP/2.0 482")
+	if n := r.count(switchA, "INVITE"); n != 1 {
+		t.Errorf("%d set-ups, want 1", n)
+	}
+}
+
+// What the intake turns away gets one answer, also when its INVITE is repeated after room has come.
+func TestTurnedAwayStaysSo(t *testing.T) {
+	r := newRig(t)
+	r.e.cfg.Gate.Most = 1
+	r.get(caller, callerSays("INVITE", "1a", ""))
+	inv := r.sent(switchA, "INVITE")
+	r.get(caller, callerSays("INVITE", "2a", ""))
+	r.sent(caller, "SIP/2.0 503")
+	r.answer(switchA, inv, 200, "s", "")
+	r.get(caller, callerSays("INVITE", "2a", ""))
+	r.sent(caller, "SIP/2.0 503")
+	if r.e.Counts.Taken != 1 {
+		t.Errorf("%d taken", r.e.Counts.Taken)
+	}
+}
+
+// A module that forgets a contact or answers it twice: rule 1 is kept all the same.
+func TestForgottenContact(t *testing.T) {
+	r := newRig(t)
+	r.m.offered = func(float64, *contact.Contact) {}
+	r.get(caller, callerSays("INVITE", "1b", ""))
+	r.pass(9011)
+	r.sent(caller, "SIP/2.0 500")
+	r.m.offered = func(_ float64, c *contact.Contact) { r.m.h.Defer(c, 0); r.m.h.Abandon(c) }
+	r.get(caller, callerSays("INVITE", "2b", ""))
+	r.sent(caller, "SIP/2.0 503")
+	if n := r.count(caller, "SIP/2.0 500"); n < 1 || r.e.Counts.Overdue != 1 {
+		t.Errorf("%d answers 500, %d overdue", n, r.e.Counts.Overdue)
+	}
+}
+
+// No datagram makes the edge fall: cut short, long, random, hostile. Seeds of our own; go test -fuzz goes on from them.
+func FuzzReceive(f *testing.F) {
+	invite := strings.ReplaceAll(callerSays("INVITE", "1a", ""), "\n", "\r\n") + "\r\n\r\n"
+	for _, s := range []string{invite, invite[:60], invite[:len(invite)-40], strings.Repeat("A", 65535), "\x00\xff\r\n\r\n",
+		strings.Replace(invite, "\r\n", "\r\n"+strings.Repeat("Via: SIP/2.0/UDP 1.2.3.4:5;branch=z9hG4bKv\r\n", 1500), 1),
+		strings.Replace(invite, "CSeq: 1", "CSeq: 99999999999", 1), strings.Replace(invite, "Content-Length: 0", "Content-Length: 4000000000", 1),
+		strings.Replace(invite, "branch=", "branch=\"a,b;c\";branch=", 1), strings.Replace(invite, "INVITE", "BYE", 2),
+		"SIP/2.0 200 OK\r\nVia: SIP/2.0/UDP 127.0.0.1:5060;branch=z9hG4bKq\r\nFrom: <sip:a@b>\r\nTo: <sip:a@b>\r\nCall-ID: 1\r\nCSeq: 1 INVITE\r\n\r\n",
+		strings.Replace(invite, "Expires: 9", "Expires: -9", 1), strings.Replace(invite, "Contact: <sip:127.0.0.2:5060>\r\n", "", 1)} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := newRig(t)
+		r.e.Receive(r.now, caller, data)
+		r.e.Wake(r.now)
+		r.e.Receive(r.now, caller, data)
+		r.pass(5)
+	})
+}
--- a/edge/trunk.go
+++ b/edge/trunk.go
@@ -110,13 +110,14 @@
 		if full {
 			e.mod.Reported(e.now, l.ring.Pool, true, true)
 		}
-		if !l.wanted || l.told || k.Over { // it crossed our giving up: nobody is there for it
+		if !l.wanted || l.told || k.Over || k.Stands { // it crossed our giving up: nobody is there for it
 			l.bye(plainReason)
 			l.tell(contact.Cancelled)
 			l.forget()
 			return
 		}
 		e.timers.Stop(l.limit)
+		k.trunk = l
 		l.ring.Cost = e.now - l.ring.Sent
 		k.stands(res)
 		e.mod.Stood(e.now, l.ring)
@@ -160,6 +161,9 @@
 	if k.Call.Rings[r.ID.(int)] == nil {
 		return
 	}
+	if how == contact.TimedOut || how == contact.Reset || how == contact.Cancelled {
+		k.clear = e.now + e.cfg.Set.ClearWait
+	}
 	k.End(r, how, e.now-r.Sent, closed || k.Over)
 	e.mod.Ended(e.now, r, k.Over)
 }
--- /dev/null
+++ b/lab/stage/guards_test.go
@@ -0,0 +1,158 @@
+package stage
+
+import (
+	"testing"
+
+	"cobaltpier/api"
+	"cobaltpier/brain"
+	"cobaltpier/check"
+	"cobaltpier/contact"
+	"cobaltpier/host"
+	"cobaltpier/lab/script"
+)
+
+// rogue is a module that breaks one rule and leaves the rest to the real one.
+type rogue struct {
+	host.Module
+	h     contact.Host
+	rule  int
+	n     int
+	pools []*contact.Pool
+	set   *contact.Settings
+}
+
+func (r *rogue) Listed(now float64, changed []*contact.Pool) {
+	for _, p := range changed {
+		known := false
+		for _, q := range r.pools {
+			known = known || p == q
+		}
+		if !known {
+			r.pools = append(r.pools, p)
+		}
+	}
+	r.Module.Listed(now, changed)
+}
+
+func (r *rogue) Offered(now float64, c *contact.Contact) {
+	r.n++
+	switch {
+	case r.rule == 1 && r.n%10 == 0: // a ring after the answer
+		r.h.Defer(c, 0)
+		r.h.Ring(c, r.pools[0], 1000)
+	case r.rule == 1 && r.n%10 == 5: // forgotten
+	case r.rule == 2 && r.n%10 == 0: // two at once
+		r.h.Ring(c, r.pools[0], 1000)
+		r.h.Ring(c, r.pools[1], 1000)
+	case r.rule == 3: // to pools that drain as to any
+		r.h.Ring(c, r.pools[r.n%len(r.pools)], c.Until-now)
+	case r.rule == 5 && r.n%3 == 0: // called off at once, and sent again as soon as that is over
+		r.h.Ring(c, r.pools[0], c.Until-now)
+		r.h.Wake(now+8, c)
+	default:
+		r.Module.Offered(now, c)
+	}
+}
+
+func (r *rogue) Woken(now float64, c *contact.Contact) {
+	if r.rule == 5 && c != nil && c.Out != nil && !c.Stands {
+		r.h.Cancel(c.Out)
+		r.h.Wake(now+8, c)
+		return
+	}
+	r.Module.Woken(now, c)
+}
+
+func (r *rogue) Stood(now float64, ring *contact.Ring) {
+	if r.rule == 4 || r.rule == 0 {
+		r.Module.Stood(now, ring)
+	}
+}
+
+func (r *rogue) Ended(now float64, ring *contact.Ring, closed bool) {
+	c := ring.Contact
+	switch {
+	case r.rule == 4 || r.rule == 0:
+		r.Module.Ended(now, ring, closed)
+	case c.Over || c.Stands || c.Out != nil:
+	case r.rule == 5 && ring.End == contact.Cancelled && c.Rings < 5:
+		c.Rings++
+		r.h.Ring(c, r.pools[0], c.Until-now)
+	default:
+		r.h.Defer(c, 0)
+	}
+}
+
+func short(t *testing.T) *script.Script {
+	t.Helper()
+	s, err := Day("try")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Length = 16000
+	s.Net.Double = 0.01
+	s.Gateways.Count, s.Pools.Count, s.Load.Rate = 3, 2, 60
+	s.Troubles = []script.Trouble{{Kind: "deploy", At: 2000, For: 100, Part: 0.4}}
+	return s
+}
+
+// judged plays a day and returns what the checker finds; build makes the module, change may alter each gateway.
+func judged(s *script.Script, build host.Maker, off int) *check.Checker {
+	k := check.New()
+	st := New(s, 5060, func(r *api.Record) { k.Add(r) })
+	st.Off = off
+	NewVirtual(st, build)
+	st.World.Run(s.Length + 12000)
+	k.Finish()
+	return k
+}
+
+// TestGuardsAndChecker shows for each rule that a module which breaks it is held by the edge, and that with that guard
+// switched off the checker sees the rule broken in the traffic.
+func TestGuardsAndChecker(t *testing.T) {
+	for _, rule := range []int{1, 2, 3, 5} {
+		mk := func(set *contact.Settings, h contact.Host) host.Module {
+			return &rogue{Module: brain.New(set, h), h: h, rule: rule, set: set}
+		}
+		if k := judged(short(t), mk, 0); len(k.Findings) > 0 {
+			t.Errorf("rule %d, guard on: %v", rule, k.Findings[0])
+		}
+		k := judged(short(t), mk, rule)
+		if k.Verdicts()[rule] == 0 {
+			t.Errorf("rule %d, guard off: the checker found nothing", rule)
+		}
+	}
+}
+
+// TestColdGuardAndChecker is rule 4's: the guard is the module's budget, and without its figures there is none.
+func TestColdGuardAndChecker(t *testing.T) {
+	for _, guarded := range []bool{true, false} {
+		s := short(t)
+		s.Length, s.Load.Rate, s.Rules.ColdShare, s.Rules.TipTimes = 20000, 95, 0.2, 1.2
+		s.Pools.Model.ColdShare, s.Pools.Model.TipTimes, s.Pools.Model.Warm = 0.2, 0, 14000
+		s.Troubles = []script.Trouble{{Kind: "silent", At: 4000, For: 5000, Part: 0.5}}
+		k := judged(s, func(set *contact.Settings, h contact.Host) host.Module {
+			if !guarded {
+				set.TipMultiple = 0
+				return &pusher{rogue{Module: brain.New(set, h), h: h, set: set}}
+			}
+			return brain.New(set, h)
+		}, 0)
+		if broken := k.Verdicts()[4] > 0; broken == guarded {
+			t.Errorf("guarded %v: rule 4 broken %v, budget used to %.2f", guarded, broken, k.Totals.ColdUse)
+		}
+	}
+}
+
+// pusher sends all it has to a pool that starts.
+type pusher struct{ rogue }
+
+func (p *pusher) Offered(now float64, c *contact.Contact) {
+	for _, q := range p.pools {
+		if q.Since > 0 && q.State == contact.Ready {
+			p.h.Ring(c, q, c.Until-now)
+			return
+		}
+	}
+	p.rogue.Offered(now, c)
+}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -70,7 +70,7 @@
 	Fleet    Fleet
 	Record   func(*api.Record)             // what the capture gets; may be nil
 	Say      func(at float64, what string) // troubles as they begin and end; may be nil
-	Truth    func(session string, stood float64)
+	Off      int                           // a guard of the edges that is switched off, to show that the checker sees it
 	names    signal.Names
 	places   []*place
 	machines []*api.Member // of the list as its keeper knows it, with start times in AgeMs
@@ -454,6 +454,9 @@
 	s := st.Script
 	c := &edge.Config{Name: g.Name, Self: g.Addr, Context: Context, Set: st.Settings(g), Times: s.Pools.Model.Times,
 		Default: s.Skills[0].Name, Margin: s.Gateways.Margin, Gate: intake.Gate{Most: s.Gateways.Held, PerBatch: s.Gateways.PerBatch}}
+	if st.Off > 0 {
+		c.Off[st.Off] = true
+	}
 	for _, p := range st.places {
 		c.Groups = append(c.Groups, edge.Group{Name: Group(p.number), Pool: p.number, Size: p.model.Lines})
 	}
