--- a/edgecmd/edgecmd.go
+++ b/edgecmd/edgecmd.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"syscall"
 	"time"
 
@@ -38,7 +39,7 @@
 }
 
 func run() *cobra.Command {
-	var config, module string
+	var config, module, profile string
 	c := &cobra.Command{Use: "run", Short: "Run a gateway until it is told to drain", Args: cobra.NoArgs,
 		Example: "  cobalt-edge run --config edge.hcl",
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -52,6 +53,17 @@
 					return fmt.Errorf("module %q: want brain, lottery or random", module)
 				}
 			}
+			if profile != "" {
+				f, err := os.Create(profile)
+				if err != nil {
+					return fmt.Errorf("profile: %w", err)
+				}
+				defer f.Close()
+				if err := pprof.StartCPUProfile(f); err != nil {
+					return fmt.Errorf("profile: %w", err)
+				}
+				defer pprof.StopCPUProfile()
+			}
 			level, _ := zerolog.ParseLevel(set.Level)
 			var w io.Writer = cmd.ErrOrStderr()
 			if set.Console {
@@ -77,6 +89,7 @@
 		}}
 	c.Flags().StringVarP(&config, "config", "c", "edge.hcl", "the settings")
 	c.Flags().StringVar(&module, "module", "brain", "what decides: brain, or the baselines lottery and random")
+	c.Flags().StringVar(&profile, "profile", "", "write a CPU profile to this file")
 	return c
 }
 
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+
+	"cobaltpier/api"
+	"cobaltpier/brain"
+	"cobaltpier/contact"
+	"cobaltpier/host"
+	"cobaltpier/settings"
+)
+
+// keeper is a pool list that a test writes.
+type keeper struct {
+	api.UnimplementedPoolListServer
+	mu    sync.Mutex
+	asked []uint64
+	send  chan *api.Update
+	cut   chan struct{}
+}
+
+func (k *keeper) Follow(req *api.FollowRequest, stream grpc.ServerStreamingServer[api.Update]) error {
+	k.mu.Lock()
+	k.asked = append(k.asked, req.Have)
+	k.mu.Unlock()
+	for {
+		select {
+		case u := <-k.send:
+			if err := stream.Send(u); err != nil {
+				return err
+			}
+		case <-k.cut:
+			return fmt.Errorf("cut")
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+func start(t *testing.T) (*keeper, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := &keeper{send: make(chan *api.Update, 16), cut: make(chan struct{})}
+	s := grpc.NewServer()
+	api.RegisterPoolListServer(s, k)
+	go s.Serve(l)
+	t.Cleanup(s.Stop)
+	return k, l.Addr().String()
+}
+
+func config(t *testing.T, list string, host byte, drain string) *settings.Edge {
+	t.Helper()
+	s, err := settings.Parse("test", []byte(fmt.Sprintf(`
+gateway {
+  name = "e"
+  sip = "127.72.0.%[1]d:19062"
+  peer = "127.72.0.%[1]d:19072"
+  trunk_context = "x.example"
+  drain_within = %[3]q
+}
+list {
+  addr = %[2]q
+}
+rules {
+  clear_wait = "500ms"
+  cold_share = 0.36
+  warm_within = "14s"
+  tip_multiple = 2.5
+  tip_time = "1s"
+}
+skill "shift-lookup" {
+  target = "2s"
+  patience = "9s"
+}
+group "TG-0" {
+  pool = 0
+  size = 100
+}
+`, host, list, drain)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func mind(s *contact.Settings, h contact.Host) host.Module { return brain.New(s, h) }
+
+type end struct {
+	out Outcome
+	err error
+}
+
+// read gets the next message that begins with a text.
+func read(t *testing.T, c *net.UDPConn, begins string) (string, netip.AddrPort) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	b := make([]byte, 1<<16)
+	for {
+		n, from, err := c.ReadFromUDPAddrPort(b)
+		if err != nil {
+			t.Fatalf("no %q: %v", begins, err)
+		}
+		if strings.HasPrefix(string(b[:n]), begins) {
+			return string(b[:n]), from
+		}
+	}
+}
+
+func line(msg, name string) string {
+	_, rest, _ := strings.Cut(msg, "\r\n"+name+": ")
+	v, _, _ := strings.Cut(rest, "\r\n")
+	return v
+}
+
+// TestLife runs a gateway on real sockets: a call is set up at the pool that the list names, the gateway drains while it
+// is not answered yet and while it stands, answers and releases it, and ends with nothing left over.
+func TestLife(t *testing.T) {
+	now := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, now) }) // after the list has stopped
+	k, addr := start(t)
+	sw, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.72.0.9:19062")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sw.Close()
+	who, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.72.0.8:19062")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer who.Close()
+	k.send <- &api.Update{Version: 3, Whole: true, Members: []*api.Member{{Id: "m", State: api.State_READY, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
+	set := config(t, addr, 1, "200ms")
+	stop, over := make(chan struct{}, 4), make(chan end, 1)
+	go func() {
+		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
+		over <- end{out, err}
+	}()
+	time.Sleep(500 * time.Millisecond)
+	invite := func(id string) {
+		who.WriteToUDPAddrPort([]byte(strings.ReplaceAll("INVITE sip:+1418;tgrp=TG-0@127.72.0.1 SIP/2.0\nVia: SIP/2.0/UDP 127.72.0.8:19062;rport;branch=z9hG4bK"+id+
+			"\nFrom: <sip:a@b>;tag="+id+"\nTo: <sip:c@d>\nCall-ID: "+id+"\nCSeq: 1 INVITE\nContact: <sip:127.72.0.8:19062>\nExpires: 9\nContent-Length: 0\n\n", "\n", "\r\n")), set.Self)
+	}
+	invite("one")
+	msg, from := read(t, sw, "INVITE")
+	stop <- struct{}{}
+	time.Sleep(50 * time.Millisecond)
+	invite("two")
+	if r, _ := read(t, who, "SIP/2.0 503"); line(r, "Call-ID") != "two" {
+		t.Errorf("refused %q, want the new one", line(r, "Call-ID"))
+	}
+	sw.WriteToUDPAddrPort([]byte("SIP/2.0 200 OK\r\nVia: "+line(msg, "Via")+"\r\nFrom: "+line(msg, "From")+"\r\nTo: "+line(msg, "To")+";tag=s\r\nCall-ID: "+
+		line(msg, "Call-ID")+"\r\nCSeq: 1 INVITE\r\nContact: <sip:127.72.0.9:19062>\r\nContent-Length: 0\r\n\r\n"), from)
+	read(t, sw, "ACK")
+	read(t, who, "SIP/2.0 200")
+	read(t, who, "BYE") // its time to drain is over
+	read(t, sw, "BYE")
+	select {
+	case e := <-over:
+		if e.out != Drained || e.err != nil {
+			t.Errorf("ended %v, %v", e.out, e.err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("does not end")
+	}
+	// the second signal
+	set = config(t, addr, 1, "60s")
+	k.send <- &api.Update{Version: 3, Whole: true, Members: []*api.Member{{Id: "m", State: api.State_READY, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
+	go func() {
+		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
+		over <- end{out, err}
+	}()
+	time.Sleep(500 * time.Millisecond)
+	invite("three")
+	read(t, sw, "INVITE")
+	if _, err := Run(context.Background(), set, mind, zerolog.Nop(), nil); err == nil || !strings.Contains(err.Error(), "another program has the address") {
+		t.Errorf("address in use: %v", err)
+	}
+	stop <- struct{}{}
+	stop <- struct{}{}
+	if e := <-over; e.out != Forced || e.err != nil {
+		t.Errorf("told twice: ended %v, %v", e.out, e.err)
+	}
+}
+
+// TestListComesBack cuts the list's stream: the gateway keeps what it had and comes back with the version of that.
+func TestListComesBack(t *testing.T) {
+	k, addr := start(t)
+	set := config(t, addr, 2, "0s")
+	stop, over := make(chan struct{}, 4), make(chan end, 1)
+	go func() {
+		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
+		over <- end{out, err}
+	}()
+	k.send <- &api.Update{Version: 7, Whole: true, Members: []*api.Member{{Id: "m", State: api.State_READY, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
+	k.send <- &api.Update{Version: 8, Members: []*api.Member{{Id: "m", State: api.State_DRAINING, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
+	time.Sleep(500 * time.Millisecond)
+	wait := func(n int) []uint64 {
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			k.mu.Lock()
+			if len(k.asked) >= n {
+				defer k.mu.Unlock()
+				return k.asked
+			}
+			k.mu.Unlock()
+		}
+		t.Fatal("does not come back")
+		return nil
+	}
+	k.cut <- struct{}{}
+	if a := wait(2); a[0] != 0 || a[1] != 8 {
+		t.Errorf("asked with %v, want 0 and 8", a)
+	}
+	k.send <- &api.Update{Version: 11, Members: []*api.Member{{Id: "m", State: api.State_GONE}}} // 9 and 10 are missing
+	if a := wait(3); a[2] != 0 {
+		t.Errorf("asked with %v, want the whole list after a gap", a)
+	}
+	stop <- struct{}{}
+	if e := <-over; e.out != Drained {
+		t.Errorf("ended %v", e.out)
+	}
+}
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -152,6 +152,7 @@
 	res = &Result{Dir: r.o.Dir}
 	r.progress(res)
 	w.RunReal(s.Length+12000, ctx.Done())
+	res.Service = r.st.Service() // before the gateways drain: that releases calls that would have gone on
 	if o.Say != nil {
 		o.Say("the day is over; gateways drain")
 	}
@@ -187,7 +188,7 @@
 		return nil, err
 	}
 	k.Finish()
-	res.Service, res.Findings, res.Totals, res.Lost = r.st.Service(), k.Findings, k.Totals, r.sockets.Lost.Load()
+	res.Findings, res.Totals, res.Lost = k.Findings, k.Totals, r.sockets.Lost.Load()
 	if temp && !res.Broken() {
 		os.RemoveAll(r.o.Dir)
 	}
--- /dev/null
+++ b/lab/rush/rush.go
@@ -0,0 +1,336 @@
+// Package rush drives one gateway as hard as it goes: callers and a switch that do next to nothing for each message, so
+// that the gateway is what is measured. Arrivals are sent by the clock and do not wait for answers. Beside it a bare
+// echo on the same reactor tells what the machine's sockets give.
+package rush
+
+//tally:standin
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Load is what is sent.
+type Load struct {
+	Rate float64 // contacts a second
+	For  time.Duration
+	Hold time.Duration
+}
+
+// Result is what came of it.
+type Result struct {
+	Sent, Stood, Ended, Refused int64
+	Repeats                     int64                   // set-ups that the gateway sent again by itself
+	Added                       *hdrhistogram.Histogram // µs from a caller's sending to the switch's receipt
+	Back                        *hdrhistogram.Histogram // µs from the switch's answer to the caller's receipt
+	Late                        time.Duration           // the most that the sender ran behind its plan
+}
+
+// Rig is the two ends.
+type Rig struct {
+	callers, trunk *net.UDPConn
+	edge           netip.AddrPort
+	mu             sync.Mutex
+	res            *Result
+	sentAt         []atomic.Int64 // ns, by contact
+	answered       []atomic.Int64
+	stood          []atomic.Bool
+	seen           []atomic.Bool
+	hold           time.Duration
+	start          time.Time
+	done           chan struct{}
+	wait           sync.WaitGroup
+}
+
+const slots = 1 << 20 // contacts that are told apart at once
+
+// NewRig opens both ends' sockets.
+func NewRig(callers, trunk, edge netip.AddrPort) (*Rig, error) {
+	r := &Rig{edge: edge, start: time.Now(), done: make(chan struct{})}
+	var err error
+	if r.callers, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(callers)); err != nil {
+		return nil, fmt.Errorf("rush: callers: %w", err)
+	}
+	if r.trunk, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(trunk)); err != nil {
+		r.callers.Close()
+		return nil, fmt.Errorf("rush: switch: %w", err)
+	}
+	r.callers.SetReadBuffer(8 << 20)
+	r.trunk.SetReadBuffer(8 << 20)
+	r.sentAt, r.answered = make([]atomic.Int64, slots), make([]atomic.Int64, slots)
+	r.stood, r.seen = make([]atomic.Bool, slots), make([]atomic.Bool, slots)
+	r.res = newResult()
+	r.wait.Add(2)
+	go r.serveTrunk()
+	go r.serveCallers()
+	return r, nil
+}
+
+func newResult() *Result {
+	return &Result{Added: hdrhistogram.New(1, 60_000_000, 3), Back: hdrhistogram.New(1, 60_000_000, 3)}
+}
+
+// Close closes the sockets.
+func (r *Rig) Close() {
+	close(r.done)
+	r.callers.Close()
+	r.trunk.Close()
+	r.wait.Wait()
+}
+
+func (r *Rig) now() int64 { return int64(time.Since(r.start)) }
+
+// Run sends a load and waits a little for what is under way.
+func (r *Rig) Run(l Load) *Result {
+	r.mu.Lock()
+	r.res, r.hold = newResult(), l.Hold
+	res := r.res
+	r.mu.Unlock()
+	begin := time.Now()
+	for n := 0; ; {
+		at := time.Since(begin)
+		if at >= l.For {
+			break
+		}
+		due := int(l.Rate * at.Seconds())
+		if due > n {
+			late := at - time.Duration(float64(n)/l.Rate*1e9)
+			r.mu.Lock()
+			res.Late = max(res.Late, late)
+			r.mu.Unlock()
+		}
+		for ; n < due; n++ {
+			r.invite(n)
+		}
+		time.Sleep(200 * time.Microsecond)
+	}
+	time.Sleep(l.Hold + 500*time.Millisecond)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.res = newResult()
+	return res
+}
+
+var ids atomic.Int64
+
+func (r *Rig) invite(int) {
+	id := ids.Add(1) % slots
+	r.sentAt[id].Store(r.now())
+	r.answered[id].Store(0)
+	r.stood[id].Store(false)
+	r.seen[id].Store(false)
+	r.mu.Lock()
+	r.res.Sent++
+	r.mu.Unlock()
+	r.write(r.callers, r.edge, r.request("INVITE", id, nil))
+}
+
+func (r *Rig) write(c *net.UDPConn, to netip.AddrPort, data []byte) { c.WriteToUDPAddrPort(data, to) }
+
+var run = strconv.FormatInt(time.Now().UnixNano()%1e6, 36)
+
+func (r *Rig) request(method string, id int64, to []byte) []byte {
+	n := fmt.Sprintf("%s%08x", run, id)
+	b := make([]byte, 0, 768)
+	b = append(b, method...)
+	b = append(b, " sip:+1418"...)
+	b = append(b, fmt.Sprintf("%010d", id)...)
+	b = append(b, ";tgrp=TG-0;trunk-context=rush.example@127.0.0.1 SIP/2.0\r\nVia: SIP/2.0/UDP "...)
+	b = append(b, r.callers.LocalAddr().String()...)
+	b = append(b, ";rport;branch=z9hG4bK"...)
+	b = append(b, n...)
+	if method != "INVITE" {
+		b = append(b, method[0])
+	}
+	b = append(b, "\r\nFrom: <sip:staff@rush.example>;tag="...)
+	b = append(b, n...)
+	b = append(b, "\r\nTo: "...)
+	if to == nil {
+		to = []byte("<sip:staff@127.0.0.1>")
+	}
+	b = append(b, to...)
+	b = append(b, "\r\nCall-ID: "...)
+	b = append(b, n...)
+	b = append(b, "\r\nCSeq: "...)
+	if method == "BYE" {
+		b = append(b, '2')
+	} else {
+		b = append(b, '1')
+	}
+	b = append(b, ' ')
+	b = append(b, method...)
+	b = append(b, "\r\nContact: <sip:"...)
+	b = append(b, r.callers.LocalAddr().String()...)
+	b = append(b, ">\r\nMax-Forwards: 70\r\nSession-ID: "...)
+	b = append(b, fmt.Sprintf("%032x;remote=%032x", id+1<<40, 0)...)
+	b = append(b, "\r\nExpires: 9\r\n"...)
+	if method == "INVITE" {
+		b = append(b, "Content-Type: application/sdp\r\nContent-Length: 3\r\n\r\nv=0"...)
+	} else {
+		b = append(b, "Content-Length: 0\r\n\r\n"...)
+	}
+	return b
+}
+
+// field is a header line's value.
+func field(data []byte, name string) []byte {
+	i := bytes.Index(data, []byte("\r\n"+name+": "))
+	if i < 0 {
+		return nil
+	}
+	v := data[i+len(name)+4:]
+	if j := bytes.IndexByte(v, '\r'); j >= 0 {
+		v = v[:j]
+	}
+	return v
+}
+
+func (r *Rig) serveCallers() {
+	defer r.wait.Done()
+	buf := make([]byte, 1<<16)
+	for {
+		n, _, err := r.callers.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		d := buf[:n]
+		if n < 16 || d[0] != 'S' || !bytes.HasSuffix(field(d, "CSeq"), []byte("INVITE")) {
+			if n > 16 && bytes.HasPrefix(d, []byte("SIP/2.0 200")) {
+				r.mu.Lock()
+				r.res.Ended++
+				r.mu.Unlock()
+			}
+			continue
+		}
+		call := field(d, "Call-ID")
+		if !bytes.HasPrefix(call, []byte(run)) {
+			continue
+		}
+		id, err := strconv.ParseInt(string(call[len(run):]), 16, 64)
+		if err != nil || id < 0 || id >= slots {
+			continue
+		}
+		switch code := string(d[8:11]); {
+		case code[0] == '1':
+		case code == "200":
+			to := append([]byte(nil), field(d, "To")...)
+			r.write(r.callers, r.edge, r.request("ACK", id, to))
+			if r.stood[id].Swap(true) {
+				continue
+			}
+			at := r.now()
+			r.mu.Lock()
+			r.res.Stood++
+			r.res.Back.RecordValue(max(1, (at-r.answered[id].Load())/1000))
+			r.mu.Unlock()
+			if r.hold == 0 {
+				r.write(r.callers, r.edge, r.request("BYE", id, to))
+			} else {
+				time.AfterFunc(r.hold, func() { r.write(r.callers, r.edge, r.request("BYE", id, to)) })
+			}
+		default:
+			to := append([]byte(nil), field(d, "To")...)
+			r.write(r.callers, r.edge, r.request("ACK", id, to))
+			r.mu.Lock()
+			r.res.Refused++
+			r.mu.Unlock()
+		}
+	}
+}
+
+func (r *Rig) serveTrunk() {
+	defer r.wait.Done()
+	buf := make([]byte, 1<<16)
+	var out []byte
+	for {
+		n, from, err := r.trunk.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		d := buf[:n]
+		reply := func(status, more string) {
+			out = append(append(append(out[:0], "SIP/2.0 "...), status...), "\r\nVia: "...)
+			out = append(append(out, field(d, "Via")...), "\r\nFrom: "...)
+			out = append(append(out, field(d, "From")...), "\r\nTo: "...)
+			out = append(out, field(d, "To")...)
+			if !bytes.Contains(field(d, "To"), []byte(";tag=")) {
+				out = append(out, ";tag=sw"...)
+			}
+			out = append(append(out, "\r\nCall-ID: "...), field(d, "Call-ID")...)
+			out = append(append(out, "\r\nCSeq: "...), field(d, "CSeq")...)
+			out = append(append(out, more...), "\r\nContent-Length: 0\r\n\r\n"...)
+			r.write(r.trunk, from, out)
+		}
+		switch d[0] {
+		case 'I':
+			id, _ := strconv.ParseInt(string(d[len("INVITE sip:+1418"):][:10]), 10, 64)
+			if id < 0 || id >= slots {
+				continue
+			}
+			at := r.now()
+			r.mu.Lock()
+			if r.seen[id].Swap(true) {
+				r.res.Repeats++
+			} else {
+				r.res.Added.RecordValue(max(1, (at-r.sentAt[id].Load())/1000))
+			}
+			r.mu.Unlock()
+			reply("180 Ringing", "")
+			r.answered[id].Store(r.now())
+			reply("200 OK", "\r\nContact: <sip:"+r.trunk.LocalAddr().String()+">\r\nCobalt-Load: util=0.1;queue=0;lines=1000000;free=900000")
+		case 'B':
+			reply("200 OK", "")
+		}
+	}
+}
+
+// Echo sends so many datagrams a second of a usual size to an echo and counts what comes back, with the times.
+func Echo(echo netip.AddrPort, rate float64, span time.Duration) (sent, back int64, times *hdrhistogram.Histogram, err error) {
+	c, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(echo))
+	if err != nil {
+		return 0, 0, nil, fmt.Errorf("rush: echo: %w", err)
+	}
+	defer c.Close()
+	c.SetReadBuffer(8 << 20)
+	times = hdrhistogram.New(1, 60_000_000, 3)
+	var got atomic.Int64
+	begin := time.Now()
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		b := make([]byte, 2048)
+		for {
+			n, err := c.Read(b)
+			if err != nil || n < 16 {
+				return
+			}
+			at, _ := strconv.ParseInt(string(b[:16]), 16, 64)
+			times.RecordValue(max(1, (int64(time.Since(begin))-at)/1000))
+			got.Add(1)
+		}
+	}()
+	data := bytes.Repeat([]byte("x"), 600)
+	for {
+		at := time.Since(begin)
+		if at >= span {
+			break
+		}
+		for due := int64(rate * at.Seconds()); sent < due; sent++ {
+			copy(data, fmt.Sprintf("%016x", int64(time.Since(begin))))
+			c.Write(data)
+		}
+		time.Sleep(200 * time.Microsecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+	c.Close()
+	<-read
+	return sent, got.Load(), times, nil
+}
--- /dev/null
+++ b/reactor/reactor_test.go
@@ -0,0 +1,44 @@
+package reactor
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// Datagrams go there and back, also to an address that was never heard; an address in use is a clear error.
+func TestSockets(t *testing.T) {
+	a, b := netip.MustParseAddrPort("127.0.0.1:0"), netip.MustParseAddrPort("127.71.0.2:19061")
+	got := make(chan string, 16)
+	s, err := Listen([]netip.AddrPort{b}, 1, func(local, from netip.AddrPort, data []byte) { got <- local.String() + " " + string(data) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := Listen([]netip.AddrPort{b}, 1, func(_, _ netip.AddrPort, _ []byte) {}); !Taken(err) {
+		t.Errorf("address in use: error %v", err)
+	}
+	c := netip.MustParseAddrPort("127.71.0.3:19061")
+	o, err := Listen([]netip.AddrPort{c}, 1, func(_, _ netip.AddrPort, data []byte) { got <- "other " + string(data) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer o.Close()
+	s.Send(b, c, []byte("first"))
+	o.Send(c, b, []byte("second"))
+	s.Send(a, c, []byte("from nowhere"))
+	want := map[string]bool{"other first": true, b.String() + " second": true}
+	for range 2 {
+		select {
+		case g := <-got:
+			if !want[g] {
+				t.Errorf("got %q", g)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("a datagram did not come")
+		}
+	}
+	if s.Lost.Load() != 1 {
+		t.Errorf("%d lost, want the one from an address that is not ours", s.Lost.Load())
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,90 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `gateway {
+  name = "e"
+  sip = "127.0.0.1:5060"
+  peer = "127.0.0.1:5070"
+  trunk_context = "x.example"
+  gateways = 2
+  number = 1
+  peers = ["127.0.0.1:5070", "127.0.0.2:5070"]
+}
+list {
+  addr = "127.0.0.1:7000"
+}
+rules {
+  clear_wait = "500ms"
+  cold_share = 0.36
+  warm_within = "14s"
+  tip_multiple = 2.5
+  tip_time = "1s"
+}
+skill "shift-lookup" {
+  target = "2s"
+  patience = "9s"
+}
+group "TG-0" {
+  pool = 0
+  size = 100
+}
+`
+
+func TestGoodSettings(t *testing.T) {
+	s, err := Parse("edge.hcl", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Set.Gateways != 2 || s.Set.Me != 1 || s.Set.ClearWait != 500 || s.Set.WarmWithin != 14000 || s.Default != "shift-lookup" ||
+		s.Set.Skills[0].Patience != 9000 || s.Groups[0].Size != 100 || !s.Set.MayTell || s.Set.Retransmit != 500 {
+		t.Errorf("settings %+v of %+v", s, s.Set)
+	}
+}
+
+// Each fault is told with file, line and what was expected; all of a file at once.
+func TestFaults(t *testing.T) {
+	for _, x := range []struct{ from, to, want string }{
+		{`clear_wait = "500ms"`, `clear_wait = 500`, `edge.hcl:14: clear_wait: want a duration from "0s" to "1m0s"`},
+		{`clear_wait = "500ms"`, `clear_wait = "soon"`, `edge.hcl:14: clear_wait: want a duration from "0s" to "1m0s", got "soon"`},
+		{`cold_share = 0.36`, `cold_share = 1.36`, `edge.hcl:15: cold_share: want a number from 0.001 to 1, got 1.36`},
+		{`cold_share = 0.36`, ``, `edge.hcl:13: rules: want cold_share = a number from 0.001 to 1`},
+		{`number = 1`, `number = 2`, `edge.hcl:7: number: want one below gateways = 2, got 2`},
+		{`number = 1`, `number = 0.5`, `edge.hcl:7: number: want a whole number, got 0.5`},
+		{`tip_time = "1s"`, `tip_tyme = "1s"`, `edge.hcl:18: unknown key "tip_tyme"; known here: clear_wait, cold_share, slack, tip_multiple, tip_time, warm_within`},
+		{`list {`, `lists {`, `edge.hcl:10: unknown block "lists"`},
+		{`"127.0.0.2:5070"]`, `"nowhere"]`, `edge.hcl:8: peers: want addresses such as "127.0.0.1:5070", got "nowhere"`},
+		{`, "127.0.0.2:5070"]`, `]`, `edge.hcl:8: peers: want the addresses of all 2 gateways where allow.tell is set, got 1`},
+		{`target = "2s"`, `target = "20s"`, `edge.hcl:21: target: want no more than patience`},
+		{`skill "shift-lookup"`, `skill`, `edge.hcl:20: skill: want 1 names behind it, got 0`},
+		{`name = "e"`, `name = ""`, `edge.hcl:2: name: want a string that is not empty`},
+		{`sip = "127.0.0.1:5060"`, `sip = "localhost"`, `edge.hcl:3: sip: want an address such as "127.0.0.1:5060", got "localhost"`},
+		{`size = 100`, `size = 100 +`, `edge.hcl:26`},
+		{`size = 100
+}`, `size = 100
+}
+group "TG-1" {
+  pool = 0
+  size = 1
+}`, `edge.hcl:29: pool 0 has a group already, "TG-0"`},
+	} {
+		text := strings.Replace(good, x.from, x.to, 1)
+		if _, err := Parse("edge.hcl", []byte(text)); err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%q: error\n%v\nwant\n%s", x.to, err, x.want)
+		}
+	}
+	if _, err := Load("/nonexistent/edge.hcl"); err == nil {
+		t.Error("a file that is not there: no error")
+	}
+}
+
+// No text makes the reader fall.
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add("gateway {")
+	f.Add("gateway {\n number = -1e999\n peers = [1, null]\n}\nskill \"a\" {\n target = null\n}")
+	f.Fuzz(func(t *testing.T, text string) { Parse("f", []byte(text)) })
+}
