Ended transactions kept in little space; stray calls released; 100 only after 150 ms

A hash and a code now stand for them, repeats are answered from that; a leg lets go of its transaction with its dialog. A 2xx that nobody waits for (after a restart) is acknowledged and released. 100 Trying goes only where nothing else went within 150 ms.

--- a/check/check.go
+++ b/check/check.go
@@ -190,8 +190,15 @@
 				}
 			}
 		}
-	case "edge-kill":
+	case "edge-kill": // what it held is no longer its duty; a repeat that reaches the next process is new there
 		k.killed[m.Who] = at
+		for _, c := range k.contacts {
+			if c.edge == m.Who {
+				for _, o := range c.out {
+					o.over = true
+				}
+			}
+		}
 	}
 }
 
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -135,14 +135,21 @@
 	if k.Over {
 		return
 	}
-	k.server.Respond(signal.Response(k.req, 100, "Trying", ""))
-	// Rule 1 holds whatever the module does: a contact that is forgotten is answered here.
-	k.overdue = e.timers.Set(k.Until+e.cfg.Set.Slack/2, func() {
-		e.Counts.Overdue++
-		e.Abandon(k.Contact)
+	k.overdue = e.timers.Set(e.now+trying, func() {
+		if !k.rang {
+			k.server.Respond(signal.Response(k.req, 100, "Trying", ""))
+		}
+		// Rule 1 holds whatever the module does: a contact that is forgotten is answered here.
+		k.overdue = e.timers.Set(k.Until+e.cfg.Set.Slack/2, func() {
+			e.Counts.Overdue++
+			e.Abandon(k.Contact)
+		})
 	})
 }
 
+// trying is when a caller that heard nothing is told that its call is looked at: 200 ms at most (RFC 3261 8.2.6.1), ms.
+const trying = 150
+
 // answer sends a final answer: the one place that does so for a contact that was taken. A second one never leaves.
 func (k *call) answer(res *sip.Response) {
 	if k.Over || k.Stands {
@@ -250,6 +257,7 @@
 	if !l.closed {
 		l.bye(why)
 	}
+	l.told = true
 	l.forget()
 	e.ended(k, l.ring, how, true)
 }
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -176,6 +176,7 @@
 	r := newRig(t)
 	r.get(caller, callerSays("INVITE", "1a", ""))
 	inv := r.sent(switchA, "INVITE sip:+14185550123;tgrp=TG-0;trunk-context=x.example@127.0.0.3")
+	r.pass(151)
 	r.sent(caller, "SIP/2.0 100")
 	if s := signal.Session(inv.(*sip.Request)); s != strings.Repeat("1", 32) {
 		t.Errorf("Session-ID %q on the trunk", s)
--- a/edge/trunk.go
+++ b/edge/trunk.go
@@ -172,6 +172,9 @@
 func (l *leg) forget() {
 	e := l.call.edge
 	delete(e.ends, l.end.tag)
+	if l.remote != nil && l.told {
+		l.tx.Forget() // a repeat of the 2xx finds the dialog released
+	}
 	e.timers.Stop(l.limit)
 	if !l.freed {
 		l.freed = true
@@ -212,3 +215,30 @@
 	l.call.edge.bye(req, l.call, plainReason)
 	l.call.edge.sip.Ask(req, l.to, nil, func(*sip.Response) {})
 }
+
+// Stray implements signal.User: a switch says that a call stands which nobody here knows of, a set-up of a process
+// before this one, or one whose dialog was released since. It is acknowledged and released, so that no line stays
+// taken; only where the list has a switch.
+func (e *Edge) Stray(res *sip.Response, from netip.AddrPort) {
+	e.now = e.sip.Now
+	known := false
+	for _, a := range e.addrs {
+		known = known || a == from
+	}
+	if !known || res.Contact() == nil {
+		return
+	}
+	for i, method := range []sip.RequestMethod{sip.ACK, sip.BYE} {
+		req := sip.NewRequest(method, res.Contact().Address)
+		e.common(req, res.From(), res.To(), string(*res.CallID()), uint32(i)+res.CSeq().SeqNo)
+		if s := signal.Session(res); s != "" {
+			req.AppendHeader(sip.NewHeader(signal.SessionID, signal.SessionValue(s)))
+		}
+		if method == sip.ACK {
+			e.sip.Ack(req, from)
+			continue
+		}
+		req.AppendHeader(sip.NewHeader(signal.Reason, plainReason))
+		e.sip.Ask(req, from, nil, func(*sip.Response) {})
+	}
+}
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -285,3 +285,6 @@
 
 // Acked implements signal.User.
 func (c *Callers) Acked(*sip.Request) {}
+
+// Stray implements signal.User.
+func (*Callers) Stray(*sip.Response, netip.AddrPort) {}
--- a/lab/core/core.go
+++ b/lab/core/core.go
@@ -470,3 +470,6 @@
 	}
 	return max(1, n)
 }
+
+// Stray implements signal.User.
+func (*Switch) Stray(*sip.Response, netip.AddrPort) {}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -54,7 +54,7 @@
 	set.Gateways = g.Int("gateways", 1, 1, 100000)
 	set.Me = g.Int("number", 0, 0, 99999)
 	set.Seed = uint64(g.Num("seed", 1, 0, 1<<53))
-	s.Tick = g.Ms("tick", 1, 0.05, 1000)
+	s.Tick = g.Ms("tick", 0, 0, 1000)
 	set.Tick = s.Tick
 	s.Margin = g.Ms("margin", 30, 0, 60000)
 	s.Gate = intake.Gate{Most: g.Int("most_held", 20000, 1, 1<<24), PerBatch: g.Int("per_batch", 0, 0, 1<<20)}
--- a/signal/client.go
+++ b/signal/client.go
@@ -34,7 +34,7 @@
 	p.Add("branch", branch)
 	req.PrependHeader(&sip.ViaHeader{ProtocolName: "SIP", ProtocolVersion: "2.0", Transport: "UDP",
 		Host: l.Self.Addr().String(), Port: int(l.Self.Port()), Params: p})
-	c := &Client{layer: l, key: string(req.Method) + branch, req: req, to: to, data: []byte(req.String()),
+	c := &Client{layer: l, key: string(req.Method) + branch, req: req, to: to, data: l.bytes(req),
 		gap: l.Times.T1, heard: heard}
 	l.clients[c.key] = c
 	l.out(to, c.data)
@@ -53,7 +53,7 @@
 	req.PrependHeader(&sip.ViaHeader{ProtocolName: "SIP", ProtocolVersion: "2.0", Transport: "UDP",
 		Host: l.Self.Addr().String(), Port: int(l.Self.Port()),
 		Params: sip.HeaderParams{{K: "branch", V: "z9hG4bK" + l.Names.Next()}}})
-	data := []byte(req.String())
+	data := l.bytes(req)
 	l.out(to, data)
 	return data
 }
@@ -88,7 +88,7 @@
 		r.AppendHeader(s)
 	}
 	branch, _ := c.req.Via().Params.Get("branch")
-	k := &Client{layer: l, key: "CANCEL" + branch, req: r, to: c.to, data: []byte(r.String()), gap: l.Times.T1,
+	k := &Client{layer: l, key: "CANCEL" + branch, req: r, to: c.to, data: l.bytes(r), gap: l.Times.T1,
 		heard: func(*sip.Response) {}}
 	l.clients[k.key] = k
 	l.out(k.to, k.data)
@@ -150,7 +150,7 @@
 		l.out(c.to, c.ack)
 		c.end = l.Timers.Set(l.Now+max(32000, 64*l.Times.T1), c.forget) // timer D
 	default:
-		c.end = l.Timers.Set(l.Now+l.Times.T4, c.forget) // timer K
+		c.forget() // timer K would only pass repeats over, and without it they are
 	}
 	c.heard(res)
 }
@@ -164,9 +164,12 @@
 	r.AppendHeader(c.req.CallID())
 	r.AppendHeader(&sip.CSeqHeader{SeqNo: c.req.CSeq().SeqNo, MethodName: sip.ACK})
 	r.AppendHeader(sip.NewHeader("Max-Forwards", "70"))
-	return []byte(r.String())
+	return c.layer.bytes(r)
 }
 
+// Forget lets go of a transaction whose user wants nothing more of it.
+func (c *Client) Forget() { c.forget() }
+
 func (c *Client) forget() {
 	l := c.layer
 	l.Timers.Stop(c.timer)
--- a/signal/layer.go
+++ b/signal/layer.go
@@ -1,6 +1,8 @@
 package signal
 
 import (
+	"bytes"
+	"io"
 	"net/netip"
 	"strconv"
 
@@ -18,6 +20,8 @@
 	CalledOff(s *Server, req *sip.Request)
 	// Acked brings the ACK of a 2xx.
 	Acked(req *sip.Request)
+	// Stray brings a 2xx of an INVITE that no transaction waits for: somebody thinks that a call stands.
+	Stray(res *sip.Response, from netip.AddrPort)
 }
 
 // Times are a layer's timers (RFC 3261 17.1.1.1), in milliseconds.
@@ -43,6 +47,58 @@
 	clients map[string]*Client
 	servers map[string]*Server
 	merged  map[string]*Server // by Call-ID, From tag and CSeq (RFC 3261 8.2.2.2)
+	over    ended
+	buf     bytes.Buffer
+}
+
+// ended remembers what was asked and is over, in little space that the garbage collector need not look through: by the
+// hash of the transaction, the final answer of a request that may be asked again, or 0 for one whose repeats get none
+// any more (RFC 6026 7.1). Two generations, each for as long as a repeat may come.
+type ended struct {
+	new, old map[uint64]int16
+	since    float64
+}
+
+func (e *ended) turn(now, keep float64) {
+	if now-e.since > keep {
+		e.old, e.new, e.since = e.new, nil, now
+	}
+}
+
+func (e *ended) add(now, keep float64, key string, code int) {
+	e.turn(now, keep)
+	if e.new == nil {
+		e.new = make(map[uint64]int16, len(e.old))
+	}
+	e.new[hash(key)] = int16(code)
+}
+
+func (e *ended) known(now, keep float64, key string) (int, bool) {
+	e.turn(now, keep)
+	if len(e.new)+len(e.old) == 0 {
+		return 0, false
+	}
+	h := hash(key)
+	if c, ok := e.new[h]; ok {
+		return int(c), true
+	}
+	c, ok := e.old[h]
+	return int(c), ok
+}
+
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037) // FNV-1a, without an allocation
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+// bytes is a message as it goes on the wire.
+func (l *Layer) bytes(m interface{ StringWrite(io.StringWriter) }) []byte {
+	l.buf.Reset()
+	m.StringWrite(&l.buf)
+	return bytes.Clone(l.buf.Bytes())
 }
 
 // NewLayer makes a layer that answers as self and sends through out.
@@ -68,6 +124,8 @@
 	case *sip.Response:
 		if c := l.clients[string(m.CSeq().MethodName)+branch]; c != nil {
 			c.answered(m)
+		} else if m.CSeq().MethodName == sip.INVITE && m.StatusCode >= 200 && m.StatusCode < 300 {
+			l.user.Stray(m, from)
 		}
 	case *sip.Request:
 		key := branch + "|" + m.Via().SentBy()
@@ -95,6 +153,12 @@
 		return
 	}
 	s := &Server{layer: l, key: key, req: m, to: returnTo(from, m.Via())}
+	if code, was := l.over.known(l.Now, 64*l.Times.T1, key); was {
+		if code != 0 {
+			l.out(s.to, l.bytes(Response(m, code, "OK", l.Names.Next())))
+		}
+		return
+	}
 	if m.Method == sip.INVITE && Tag(m.To().Params) == "" {
 		once := string(*m.CallID()) + "|" + Tag(m.From().Params) + "|" + strconv.Itoa(int(m.CSeq().SeqNo))
 		if l.merged[once] != nil {
@@ -114,6 +178,10 @@
 		return
 	}
 	s := &Server{layer: l, key: "CANCEL" + key, req: m, to: returnTo(from, m.Via())}
+	if _, was := l.over.known(l.Now, 64*l.Times.T1, s.key); was {
+		l.out(s.to, l.bytes(Response(m, 200, "OK", l.Names.Next())))
+		return
+	}
 	l.servers[s.key] = s
 	invite := l.servers["INVITE"+key]
 	if invite == nil {
@@ -128,18 +196,19 @@
 
 // Server is a transaction that somebody asked for.
 type Server struct {
-	User  any // the user's own
-	layer *Layer
-	key   string
-	once  string
-	req   *sip.Request
-	to    netip.AddrPort
-	final int    // the final answer, 0 before
-	last  []byte // the latest answer
-	gap   float64
-	timer *clock.Timer // the next repeat
-	end   *clock.Timer
-	lost  func() // a 2xx of an INVITE that nobody acknowledged
+	User   any // the user's own
+	layer  *Layer
+	key    string
+	once   string
+	req    *sip.Request
+	to     netip.AddrPort
+	final  int    // the final answer, 0 before
+	last   []byte // the latest answer
+	gap    float64
+	timer  *clock.Timer // the next repeat
+	end    *clock.Timer
+	buried bool
+	lost   func() // a 2xx of an INVITE that nobody acknowledged
 }
 
 // Request is what was asked.
@@ -158,14 +227,18 @@
 		return
 	}
 	l := s.layer
-	s.last = []byte(res.String())
+	s.last = l.bytes(res)
 	l.out(s.to, s.last)
 	if res.StatusCode < 200 {
 		return
 	}
 	s.final = res.StatusCode
-	if s.req.Method != sip.INVITE {
-		s.end = l.Timers.Set(l.Now+64*l.Times.T1, s.forget) // timer J
+	if s.req.Method != sip.INVITE { // timer J: a repeat is answered from what is remembered
+		if s.final < 300 {
+			s.bury(s.final)
+		} else {
+			s.end = l.Timers.Set(l.Now+64*l.Times.T1, s.forget)
+		}
 		return
 	}
 	s.gap = l.Times.T1
@@ -180,7 +253,7 @@
 		return
 	}
 	s.final = res.StatusCode
-	s.layer.out(s.to, []byte(res.String()))
+	s.layer.out(s.to, s.layer.bytes(res))
 	s.forget()
 }
 
@@ -189,15 +262,21 @@
 
 // Acked is told by the user when the ACK of a 2xx came: repeats end.
 func (s *Server) Acked() {
-	s.layer.Timers.Stop(s.timer)
 	s.lost = nil
+	s.bury(0)
 }
 
-func (s *Server) acked() {
+func (s *Server) acked() { s.bury(0) }
+
+// bury forgets a transaction but for its answer.
+func (s *Server) bury(code int) {
+	if s.buried {
+		return
+	}
+	s.buried = true
 	l := s.layer
-	l.Timers.Stop(s.timer)
-	l.Timers.Stop(s.end)
-	s.end = l.Timers.Set(l.Now+l.Times.T4, s.forget) // timer I
+	l.over.add(l.Now, 64*l.Times.T1, s.key, code)
+	s.forget()
 }
 
 func (s *Server) unacked() {
--- a/signal/message.go
+++ b/signal/message.go
@@ -101,7 +101,7 @@
 		h, err := plain(name, hide(text))
 		if v, ok := h.(*sip.ViaHeader); ok && v != nil {
 			for i := range v.Params {
-				v.Params[i].V = strings.NewReplacer("\x1d", `"`, "\x1e", ";", "\x1f", ",").Replace(v.Params[i].V)
+				v.Params[i].V = unhide.Replace(v.Params[i].V)
 			}
 		}
 		return h, err
@@ -110,6 +110,9 @@
 	return sip.NewParser(sip.WithHeadersParsers(m))
 }
 
+// unhide is read only once made.
+var unhide = strings.NewReplacer("\x1d", `"`, "\x1e", ";", "\x1f", ",")
+
 // hide puts other bytes in the place of quotes, and of what parts parameters inside them.
 func hide(s string) string {
 	b, quoted := []byte(s), false
