--- a/host/host.go
+++ b/host/host.go
@@ -2,6 +2,8 @@
 // list, and keeping a contact's rings until all of them have ended. It decides nothing.
 package host
 
+//tally:decisions
+
 import (
 	"cmp"
 	"math"
--- a/signal/layer.go
+++ b/signal/layer.go
@@ -1,5 +1,7 @@
 package signal
 
+//tally:decisions
+
 import (
 	"bytes"
 	"io"
