--- a/check/check.go
+++ b/check/check.go
@@ -36,10 +36,19 @@
 	ColdUse                                      float64 // the largest part of a cold budget that was used in a window
 }
 
+// Cold is how much of a cold switch's budget the work of the window that ended at a time used.
+type Cold struct {
+	At     float64
+	Switch string
+	Use    float64 // 1: the limit
+}
+
 // Checker takes the records of a capture in their order.
 type Checker struct {
 	Findings []Finding
 	Totals   Totals
+	Keep     bool   // keep how cold budgets were used
+	Cold     []Cold // with Keep: after Finish
 	rules    *api.Rules
 	nodes    map[string]*api.Node
 	contacts map[string]*contact          // by edge and session
@@ -436,6 +445,9 @@
 		}
 		most := k.rules.TipMultiple * part * k.rules.TipMs
 		k.Totals.ColdUse = math.Max(k.Totals.ColdUse, sum/most)
+		if k.Keep {
+			k.Cold = append(k.Cold, Cold{x.at, s.who, sum / most})
+		}
 		if sum > most+math.Sqrt(most*s.model.SetupMs)+s.model.SetupMs && told > sum*2/3 {
 			k.last = x.at
 			k.broke(4, &contact{edge: "all", id: s.who}, "%.0f ms of work in %.0f ms to %s, %.0f ms after its start: %.0f allowed",
--- a/conf/conf.go
+++ b/conf/conf.go
@@ -339,3 +339,29 @@
 	}
 	return of[0]
 }
+
+// Override puts another value in the place of one, or where there is none, before anything was read: path is the name,
+// with the names of the blocks before it and dots between ("pools.count"); text is the value as a file would have it.
+func (b *Block) Override(path, text string) error {
+	expr, diags := hclsyntax.ParseExpression([]byte(text), path, hcl.InitialPos)
+	if diags.HasErrors() {
+		return fmt.Errorf("settings: %s = %s: %w", path, text, diags)
+	}
+	body, names := b.body, strings.Split(path, ".")
+	for _, n := range names[:len(names)-1] {
+		var in *hclsyntax.Block
+		for _, c := range body.Blocks {
+			if c.Type == n && len(c.Labels) == 0 || len(c.Labels) == 1 && c.Labels[0] == n {
+				in = c
+			}
+		}
+		if in == nil {
+			in = &hclsyntax.Block{Type: n, Body: &hclsyntax.Body{Attributes: hclsyntax.Attributes{}}, TypeRange: expr.Range()}
+			body.Blocks = append(body.Blocks, in)
+		}
+		body = in.Body
+	}
+	last := names[len(names)-1]
+	body.Attributes[last] = &hclsyntax.Attribute{Name: last, Expr: expr, SrcRange: expr.Range(), NameRange: expr.Range()}
+	return nil
+}
--- /dev/null
+++ b/lab/fleet/fleet.go
@@ -0,0 +1,216 @@
+// Package fleet plays days in virtual time and measures them: the same edges and switches as on sockets, any number of
+// gateways, the same seed the same day. Days that do not touch run side by side, one a core.
+package fleet
+
+//tally:standin
+
+import (
+	"context"
+	"math"
+	"runtime"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cobaltpier/api"
+	"cobaltpier/brain"
+	"cobaltpier/check"
+	"cobaltpier/contact"
+	"cobaltpier/host"
+	"cobaltpier/lab/baseline"
+	"cobaltpier/lab/script"
+	"cobaltpier/lab/stage"
+	"cobaltpier/signal"
+)
+
+// After is how long a day goes on after its last arrival could come, ms: all patience is over by then.
+const After = 12000.0
+
+// Module is the maker of a decision module by its name: brain, or a baseline; nil for any other.
+func Module(name string) host.Maker {
+	if name == "" || name == "brain" {
+		return func(s *contact.Settings, h contact.Host) host.Module { return brain.New(s, h) }
+	}
+	return baseline.ByName(name)
+}
+
+// Options say what is measured.
+type Options struct {
+	Series bool              // second by second, for plots
+	Sum    bool              // a hash of the whole capture
+	Record func(*api.Record) // gets the capture too; may be nil
+}
+
+// Result is what a day came to.
+type Result struct {
+	Service  stage.Service
+	Findings []check.Finding
+	Totals   check.Totals
+	Series   *Series
+	Sum      uint64
+	Spent    time.Duration
+}
+
+// Series is a day second by second.
+type Series struct {
+	Seconds  int
+	Service  []float64            // share of the value that came in that second and stood in time
+	Offered  []float64            // contacts that came
+	P50, P95 []float64            // waits of those that came then and stood, ms; NaN: none
+	Rings    map[string][]float64 // by switch, sent in that second
+	Ends     map[string][]float64 // of rings, by what the switch answered
+	Cold     []check.Cold
+	Troubles []script.Trouble
+}
+
+// Play plays a day.
+func Play(s *script.Script, mk host.Maker, o Options) *Result {
+	begin := time.Now()
+	k := check.New()
+	k.Keep = o.Series
+	res := &Result{}
+	var ser *seriesTap
+	if o.Series {
+		ser = newTap(s)
+	}
+	st := stage.New(s, 5060, func(r *api.Record) {
+		k.Add(r)
+		if ser != nil {
+			ser.add(r)
+		}
+		if o.Sum {
+			b, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+			if err == nil {
+				for _, c := range b {
+					res.Sum = (res.Sum ^ uint64(c)) * 1099511628211
+				}
+			}
+		}
+		if o.Record != nil {
+			o.Record(r)
+		}
+	})
+	stage.NewVirtual(st, mk)
+	st.World.Run(s.Length + After)
+	k.Finish()
+	res.Service, res.Findings, res.Totals = st.Service(), k.Findings, k.Totals
+	if ser != nil {
+		res.Series = ser.done(st, k.Cold)
+	}
+	res.Spent = time.Since(begin)
+	return res
+}
+
+// Each calls do for 0 to n-1, as many at once as there are cores, until ctx ends; it tells whether all were done.
+func Each(ctx context.Context, n int, do func(i int)) bool {
+	next := make(chan int)
+	var wait sync.WaitGroup
+	for range min(n, runtime.GOMAXPROCS(0)) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range next {
+				do(i)
+			}
+		}()
+	}
+	all := true
+	for i := range n {
+		select {
+		case next <- i:
+			continue
+		case <-ctx.Done():
+			all = false
+		}
+		break
+	}
+	close(next)
+	wait.Wait()
+	return all
+}
+
+type seriesTap struct {
+	s     *Series
+	names map[string]*api.Node
+}
+
+func newTap(s *script.Script) *seriesTap {
+	n := int(math.Ceil(s.Length / 1000))
+	return &seriesTap{s: &Series{Seconds: n, Rings: map[string][]float64{}, Ends: map[string][]float64{}, Troubles: s.Troubles},
+		names: map[string]*api.Node{}}
+}
+
+func (t *seriesTap) count(m map[string][]float64, key string, at float64) {
+	i := int(at / 1000)
+	if i < 0 || i >= t.s.Seconds {
+		return
+	}
+	if m[key] == nil {
+		m[key] = make([]float64, t.s.Seconds)
+	}
+	m[key][i]++
+}
+
+// ends names what a switch's answer makes of a ring.
+var ends = map[string]string{"200": "stood", "486": "no line", "487": "called off", "500": "failed", "503": "processor full", "600": "engaged"}
+
+func (t *seriesTap) add(r *api.Record) {
+	switch v := r.What.(type) {
+	case *api.Record_Node:
+		t.names[v.Node.Addr] = v.Node
+	case *api.Record_Datagram:
+		from, to := t.names[v.Datagram.From], t.names[v.Datagram.To]
+		if from == nil || to == nil {
+			return
+		}
+		text := string(v.Datagram.Data)
+		switch {
+		case to.Role == "switch" && strings.HasPrefix(text, "INVITE "):
+			t.count(t.s.Rings, to.Name, r.At)
+		case from.Role == "switch" && strings.HasPrefix(text, "SIP/2.0 ") && len(text) > 11 && text[8] >= '2':
+			if m, err := signal.Parse(v.Datagram.Data); err == nil && m.CSeq().MethodName == "INVITE" {
+				if name := ends[text[8:11]]; name != "" {
+					t.count(t.s.Ends, name, r.At)
+				}
+			}
+		}
+	}
+}
+
+func (t *seriesTap) done(st *stage.Stage, cold []check.Cold) *Series {
+	s := t.s
+	s.Cold = cold
+	got, of := make([]float64, s.Seconds), make([]float64, s.Seconds)
+	waits := make([][]float64, s.Seconds)
+	s.Offered = make([]float64, s.Seconds)
+	for _, g := range st.Gateways {
+		for _, x := range g.Callers.Stories {
+			i := int(x.At / 1000)
+			if x.Over || i >= s.Seconds {
+				continue
+			}
+			s.Offered[i]++
+			of[i] += x.Value
+			if math.IsNaN(x.StoodAt) {
+				continue
+			}
+			wait := x.StoodAt - x.At
+			waits[i] = append(waits[i], wait)
+			if !x.Cut && wait <= x.Target {
+				got[i] += x.Value
+			}
+		}
+	}
+	for i := range s.Seconds {
+		share := math.NaN()
+		if of[i] > 0 {
+			share = got[i] / of[i]
+		}
+		s.Service = append(s.Service, share)
+		s.P50 = append(s.P50, quantile(waits[i], 0.5))
+		s.P95 = append(s.P95, quantile(waits[i], 0.95))
+	}
+	return s
+}
--- /dev/null
+++ b/lab/hunt/hunt.go
@@ -0,0 +1,262 @@
+// Package hunt looks for days on which a rule breaks or callers are served worst: it draws small days by chance, goes on
+// from the worst ones by small changes, and cuts what it finds down to the least that still shows it.
+package hunt
+
+//tally:standin
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"sync"
+
+	"cobaltpier/lab/fleet"
+	"cobaltpier/lab/script"
+	"cobaltpier/lab/stage"
+	"cobaltpier/signal"
+)
+
+// Find is a day that stands out.
+type Find struct {
+	Script *script.Script
+	Rule   int     // the broken rule; 0: none, a day of bad service
+	What   string  // the first finding
+	Score  float64 // how bad: 10 and more for a broken rule
+}
+
+// Options say how to hunt.
+type Options struct {
+	Days  int
+	Seed  uint64
+	Large bool                               // days of up to 40 gateways
+	Play  func(*script.Script) *fleet.Result // nil: the project's module
+	Found func(Find)                         // told at once, so that a hunt that is stopped loses nothing
+	Say   func(done int, worst float64)
+}
+
+// Result is what a hunt came to.
+type Result struct {
+	Days   int
+	Broken []Find
+	Worst  []Find // of service, the worst first, at most ten
+	Cold   float64
+}
+
+// kinds of trouble that a hunt draws, with the range of their sizes.
+var kinds = []struct {
+	name   string
+	lo, hi float64
+}{{"burst", 1.2, 3}, {"uneven", 0.2, 0.7}, {"slow", 1.5, 6}, {"slow_all", 1.2, 3}, {"other", 0.2, 0.8}, {"lines", 0.2, 0.8}, {"silent", 1, 1},
+	{"ageing", 2, 10}, {"deploy", 1, 1}, {"region", 1, 1}, {"stall", 0.3, 2.5}, {"restart", 1, 1}, {"mute", 1, 1}, {"loss", 0.01, 0.2}, {"listless", 1, 1}}
+
+// Draw makes a small day by chance.
+func Draw(seed uint64, large bool) *script.Script {
+	n := &signal.Names{Seed: seed ^ 0x5bd1e995}
+	in := func(lo, hi float64) float64 { return lo + (hi-lo)*n.Chance() }
+	whole := func(lo, hi int) int { return lo + int(n.Chance()*float64(hi-lo+1)) }
+	s := Plain()
+	s.Seed, s.Length = seed, in(8000, 14000)
+	s.Gateways.Count, s.Pools.Count = whole(1, 6), whole(2, 4)
+	if large {
+		s.Gateways.Count, s.Pools.Count = whole(10, 40), whole(3, 8)
+	}
+	s.Gateways.Cancel, s.Gateways.Tell = n.Chance() < 0.7, n.Chance() < 0.7
+	s.Gateways.Tick = []float64{1, 5, 10}[whole(0, 2)]
+	s.Pools.Model.WorksOn, s.Pools.Model.NamesWait = n.Chance() < 0.5, n.Chance() < 0.5
+	s.Pools.Model.Reports = [][]string{{"util", "queue"}, {"rate"}, {"loss", "wait"}, {"wait"}}[whole(0, 3)]
+	s.Pools.Model.ErrorRate = []float64{0, 0.001, 0.02}[whole(0, 2)]
+	s.Pools.Model.WaitLimit = in(800, 4000)
+	s.Pools.Spread = in(0, 0.6)
+	s.Rules.ColdShare = in(0.2, 0.5)
+	s.Pools.Model.ColdShare, s.Pools.Model.Warm = s.Rules.ColdShare, in(4000, 14000)
+	s.Net.Double, s.Net.Jitter = []float64{0, 0.01, 0.1}[whole(0, 2)], in(0, 0.9)
+	s.Net.Loss = []float64{0, 0, 0.005, 0.03}[whole(0, 3)]
+	work := s.Pools.Model.Setup + s.Pools.Model.Answer + s.Pools.Model.Release
+	s.Load.Rate = in(0.5, 1.25) * float64(s.Pools.Count) * 1000 / work
+	s.List.SilentLo, s.List.SilentHi, s.List.NoticeHi = 1000, in(1500, 6000), in(800, 4000)
+	for range whole(1, 4) {
+		s.Troubles = append(s.Troubles, trouble(n, s))
+	}
+	return s
+}
+
+func trouble(n *signal.Names, s *script.Script) script.Trouble {
+	k := kinds[int(n.Chance()*float64(len(kinds)))]
+	t := script.Trouble{Kind: k.name, At: 500 + n.Chance()*s.Length*0.6, For: 300 + n.Chance()*s.Length*0.5, Part: 0.1 + 0.8*n.Chance(), Size: k.lo + (k.hi-k.lo)*n.Chance()}
+	if k.name == "region" || k.name == "lines" {
+		t.Region = s.Regions[int(n.Chance()*float64(len(s.Regions)))]
+	}
+	return t
+}
+
+// Plain is the day that others are drawn from: slow switches, so that few contacts make a load.
+func Plain() *script.Script {
+	s, err := stage.Day("plain")
+	if err != nil {
+		panic(err) // a file of this program's own
+	}
+	return s
+}
+
+// change makes a day like another.
+func change(s *script.Script, seed uint64) *script.Script {
+	n := &signal.Names{Seed: seed}
+	c := *s
+	c.Troubles = append([]script.Trouble{}, s.Troubles...)
+	switch int(n.Chance() * 6) {
+	case 0:
+		c.Seed = seed
+	case 1:
+		if len(c.Troubles) < 6 {
+			c.Troubles = append(c.Troubles, trouble(n, &c))
+		}
+	case 2:
+		if len(c.Troubles) > 0 {
+			i := int(n.Chance() * float64(len(c.Troubles)))
+			c.Troubles[i].At, c.Troubles[i].For = 500+n.Chance()*c.Length*0.6, 300+n.Chance()*c.Length*0.5
+		}
+	case 3:
+		if len(c.Troubles) > 0 {
+			i := int(n.Chance() * float64(len(c.Troubles)))
+			c.Troubles[i].Part = 0.1 + 0.8*n.Chance()
+			c.Troubles[i].Size *= 0.7 + 0.6*n.Chance()
+		}
+	case 4:
+		c.Load.Rate *= 0.8 + 0.4*n.Chance()
+	default:
+		c.Gateways.Count = max(1, c.Gateways.Count+int(n.Chance()*5)-2)
+	}
+	return &c
+}
+
+// Judge is how bad a day was. Broken rules come first; then the use of cold budgets and what was not served.
+func Judge(s *script.Script, r *fleet.Result) Find {
+	f := Find{Script: s, Score: 1 - r.Service.Whole}
+	if len(r.Findings) > 0 {
+		f.Rule, f.What, f.Score = r.Findings[0].Rule, r.Findings[0].String(), 10+float64(len(r.Findings))
+	} else if r.Service.Fell > 0 {
+		f.What = fmt.Sprintf("%d switches were pushed over", r.Service.Fell)
+	}
+	return f
+}
+
+// Run hunts until its days are played or ctx ends; what was found until then stands in the result.
+func Run(ctx context.Context, o Options) *Result {
+	if o.Play == nil {
+		o.Play = func(s *script.Script) *fleet.Result { return fleet.Play(s, fleet.Module("brain"), fleet.Options{}) }
+	}
+	var mu sync.Mutex
+	res := &Result{}
+	var elite []Find // what guides: high use of a cold budget, or bad service
+	hint := func(r *fleet.Result, f Find) float64 { return f.Score + r.Totals.ColdUse }
+	hints := map[*script.Script]float64{}
+	fleet.Each(ctx, o.Days, func(i int) {
+		seed := o.Seed*1000003 + uint64(i)
+		n := &signal.Names{Seed: seed}
+		var s *script.Script
+		mu.Lock()
+		if len(elite) > 8 && n.Chance() < 0.5 {
+			s = change(elite[int(n.Chance()*float64(len(elite)))].Script, seed)
+		}
+		mu.Unlock()
+		if s == nil {
+			s = Draw(seed, o.Large)
+		}
+		r := o.Play(s)
+		f := Judge(s, r)
+		mu.Lock()
+		defer mu.Unlock()
+		res.Days++
+		res.Cold = math.Max(res.Cold, r.Totals.ColdUse)
+		hints[s] = hint(r, f)
+		elite = insert(elite, f, 24, func(f Find) float64 { return hints[f.Script] })
+		if f.Rule > 0 {
+			res.Broken = append(res.Broken, f)
+			if o.Found != nil {
+				o.Found(f)
+			}
+		} else {
+			res.Worst = insert(res.Worst, f, 10, func(f Find) float64 { return f.Score })
+		}
+		if o.Say != nil && res.Days%200 == 0 && len(res.Worst) > 0 {
+			o.Say(res.Days, res.Worst[0].Score)
+		}
+	})
+	return res
+}
+
+// insert keeps a list sorted, the highest first, and short.
+func insert(of []Find, f Find, most int, score func(Find) float64) []Find {
+	i := len(of)
+	for i > 0 && score(of[i-1]) < score(f) {
+		i--
+	}
+	of = append(of, Find{})
+	copy(of[i+1:], of[i:])
+	of[i] = f
+	return of[:min(most, len(of))]
+}
+
+// Shrink cuts a day down while it still shows what was found: fewer troubles, gateways and switches, shorter, less load,
+// plainer settings. same tells whether a day still shows it. It plays at most so many days.
+func Shrink(s *script.Script, same func(*script.Script) bool, most int) *script.Script {
+	plain := Plain()
+	for again := true; again && most > 0; {
+		again = false
+		for _, c := range smaller(s, plain) {
+			if most--; most < 0 {
+				return s
+			}
+			if same(c) {
+				s, again = c, true
+				break
+			}
+		}
+	}
+	return s
+}
+
+// smaller are the days one step smaller than another.
+func smaller(s, plain *script.Script) []*script.Script {
+	var of []*script.Script
+	add := func(do func(c *script.Script)) {
+		c := *s
+		c.Troubles = append([]script.Trouble{}, s.Troubles...)
+		do(&c)
+		of = append(of, &c)
+	}
+	for i := range s.Troubles {
+		add(func(c *script.Script) { c.Troubles = append(c.Troubles[:i], c.Troubles[i+1:]...) })
+	}
+	if s.Gateways.Count > 1 {
+		add(func(c *script.Script) { c.Gateways.Count = (c.Gateways.Count + 1) / 2; c.Load.Rate *= 1 })
+		add(func(c *script.Script) { c.Gateways.Count-- })
+	}
+	if s.Pools.Count > 1 {
+		add(func(c *script.Script) {
+			c.Pools.Count--
+			c.Load.Rate *= float64(c.Pools.Count) / float64(c.Pools.Count+1)
+		})
+	}
+	if s.Length > 4000 {
+		add(func(c *script.Script) { c.Length = math.Max(4000, c.Length*0.7) })
+	}
+	if s.Load.Rate > 4 {
+		add(func(c *script.Script) { c.Load.Rate /= 2 })
+	}
+	if s.Net != plain.Net {
+		add(func(c *script.Script) { c.Net = plain.Net })
+	}
+	if s.Pools.Model.ErrorRate > 0 {
+		add(func(c *script.Script) { c.Pools.Model.ErrorRate = 0 })
+	}
+	if s.Gateways.Tell {
+		add(func(c *script.Script) { c.Gateways.Tell = false })
+	}
+	for i, t := range s.Troubles {
+		if t.For > 600 {
+			add(func(c *script.Script) { c.Troubles[i].For = math.Round(t.For/2/100) * 100 })
+		}
+	}
+	return of
+}
--- a/lab/stage/days.go
+++ b/lab/stage/days.go
@@ -2,7 +2,10 @@
 
 import (
 	"embed"
+	"encoding/json"
 	"fmt"
+	"os"
+	"strings"
 
 	"cobaltpier/conf"
 	"cobaltpier/lab/script"
@@ -11,15 +14,64 @@
 //go:embed days/*.hcl
 var days embed.FS
 
-// Day is one of the days that come with the program.
-func Day(name string) (*script.Script, error) {
+// Day is one of the days that come with the program, with some values changed ("pools.count=6").
+func Day(name string, set ...string) (*script.Script, error) {
 	src, err := days.ReadFile("days/" + name + ".hcl")
 	if err != nil {
-		return nil, fmt.Errorf("day %q: not among those that come with the program", name)
+		return nil, fmt.Errorf("day %q: not among those that come with the program: %s", name, strings.Join(Days(), ", "))
 	}
 	b, err := conf.Parse(name+".hcl", src)
 	if err != nil {
 		return nil, err
 	}
+	return read(b, set)
+}
+
+// Days are the names of the days that come with the program.
+func Days() []string {
+	var of []string
+	list, err := days.ReadDir("days")
+	if err != nil {
+		return nil
+	}
+	for _, f := range list {
+		of = append(of, strings.TrimSuffix(f.Name(), ".hcl"))
+	}
+	return of
+}
+
+// Load reads a day: a file of HCL, one of JSON as hunts write them, or the name of one that comes with the program.
+func Load(name string, set ...string) (*script.Script, error) {
+	switch {
+	case strings.HasSuffix(name, ".json"):
+		src, err := os.ReadFile(name)
+		if err != nil {
+			return nil, fmt.Errorf("day: %w", err)
+		}
+		s := &script.Script{}
+		if err := json.Unmarshal(src, s); err != nil {
+			return nil, fmt.Errorf("day %s: %w", name, err)
+		}
+		return s, nil
+	case strings.HasSuffix(name, ".hcl"):
+		b, err := conf.Load(name)
+		if err != nil {
+			return nil, err
+		}
+		return read(b, set)
+	}
+	return Day(name, set...)
+}
+
+func read(b *conf.Block, set []string) (*script.Script, error) {
+	for _, x := range set {
+		name, value, ok := strings.Cut(x, "=")
+		if !ok {
+			return nil, fmt.Errorf("setting %q: want NAME=VALUE", x)
+		}
+		if err := b.Override(strings.TrimSpace(name), strings.TrimSpace(value)); err != nil {
+			return nil, err
+		}
+	}
 	return script.Read(b)
 }
--- /dev/null
+++ b/lab/stats/stats.go
@@ -0,0 +1,67 @@
+// Package stats compares paired measurements.
+package stats
+
+//tally:standin
+
+import (
+	"fmt"
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Paired is what a set of differences of pairs tells.
+type Paired struct {
+	N             int
+	Mean          float64
+	Low, High     float64 // the interval that holds the true mean with the confidence
+	A, B          float64 // the means of both sides
+	Better, Worse int     // pairs in which B is above or below A
+	Confidence    float64
+}
+
+// Compare takes b's differences from a, pair by pair, and the interval of their mean by Student's t. Fewer than two
+// pairs have an interval without bounds.
+func Compare(a, b []float64, confidence float64) Paired {
+	n := min(len(a), len(b))
+	p := Paired{N: n, Low: math.Inf(-1), High: math.Inf(1), Confidence: confidence}
+	if n == 0 {
+		return p
+	}
+	d := make([]float64, n)
+	for i := range n {
+		d[i] = b[i] - a[i]
+		switch {
+		case d[i] > 0:
+			p.Better++
+		case d[i] < 0:
+			p.Worse++
+		}
+	}
+	p.A, p.B, p.Mean = stat.Mean(a[:n], nil), stat.Mean(b[:n], nil), stat.Mean(d, nil)
+	if n < 2 {
+		return p
+	}
+	half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}.Quantile(0.5+confidence/2) * stat.StdDev(d, nil) / math.Sqrt(float64(n))
+	p.Low, p.High = p.Mean-half, p.Mean+half
+	return p
+}
+
+// Verdict says more only than the noise allows.
+func (p Paired) Verdict() string {
+	switch {
+	case p.N < 2:
+		return "too few days to tell"
+	case p.Low > 0:
+		return "B is higher"
+	case p.High < 0:
+		return "B is lower"
+	}
+	return "no difference beyond the noise"
+}
+
+func (p Paired) String() string {
+	return fmt.Sprintf("A %.4f  B %.4f  B-A %+.4f [%+.4f, %+.4f] at %.0f %%, %d pairs (%d up, %d down): %s", p.A, p.B, p.Mean, p.Low, p.High,
+		100*p.Confidence, p.N, p.Better, p.Worse, p.Verdict())
+}
--- a/labcmd/labcmd.go
+++ b/labcmd/labcmd.go
@@ -15,15 +15,12 @@
 	"github.com/spf13/cobra"
 
 	"cobaltpier/api"
-	"cobaltpier/brain"
 	"cobaltpier/capture"
 	"cobaltpier/check"
-	"cobaltpier/conf"
-	"cobaltpier/contact"
 	"cobaltpier/edgecmd"
 	"cobaltpier/host"
-	"cobaltpier/lab/baseline"
 	"cobaltpier/lab/day"
+	"cobaltpier/lab/fleet"
 	"cobaltpier/lab/script"
 	"cobaltpier/lab/stage"
 )
@@ -38,7 +35,7 @@
 Start with "cobalt-lab try". Status 0: all went well; 1: something failed; 3: a rule was broken.`, SilenceUsage: true, SilenceErrors: true}
 	edge := edgecmd.New()
 	edge.Use, edge.Hidden = "edge", true
-	root.AddCommand(try(), dayCmd(), show(), judge(), throughput(), design(), echo(), edge)
+	root.AddCommand(try(), dayCmd(), show(), judge(), throughput(), design(), echo(), fleetCmd(), compare(), huntCmd(), edge)
 	return root
 }
 
@@ -62,6 +59,7 @@
 	dir     string
 	port    int
 	level   string
+	set     []string
 }
 
 func (f *dayFlags) add(c *cobra.Command) {
@@ -72,6 +70,7 @@
 	c.Flags().StringVar(&f.capture, "capture", "", "keep the traffic in this file (see cobalt-lab show)")
 	c.Flags().StringVar(&f.dir, "dir", "", "keep the gateways' settings and logs there")
 	c.Flags().IntVar(&f.port, "port", 15060, "SIP port of the addresses in 127.0.0.0/8; port+10 and port+20 are used too")
+	c.Flags().StringArrayVar(&f.set, "set", nil, "change a value of the script, such as pools.count=6 or 'net.loss=0.01'")
 	c.Flags().StringVar(&f.level, "log", "info", "log level of the gateways")
 }
 
@@ -79,7 +78,7 @@
 	var f dayFlags
 	c := &cobra.Command{Use: "try", Short: "Put on a short day that comes with the program, with real sockets and processes", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, err := stage.Day("try")
+			s, err := stage.Day("try", f.set...)
 			if err != nil {
 				return err
 			}
@@ -91,25 +90,14 @@
 
 func dayCmd() *cobra.Command {
 	var f dayFlags
-	c := &cobra.Command{Use: "day SCRIPT.hcl", Short: "Put on a day from a script; \"trouble\" and \"try\" come with the program", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "day SCRIPT.hcl", Short: "Put on a day from a script, or one that comes with the program", Args: cobra.ExactArgs(1),
 		Example: "  cobalt-lab day trouble --seeds 10\n  cobalt-lab day my.hcl --virtual --module brain,lottery,random",
 		Long:    "Puts on a day from a script, prints how callers were served and the verdict on the five rules.\n\nTroubles that a script may name:\n" + kinds(),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var s *script.Script
-			if !strings.HasSuffix(args[0], ".hcl") {
-				var err error
-				if s, err = stage.Day(args[0]); err != nil {
-					return err
-				}
-				return f.run(cmd, s)
-			}
-			b, err := conf.Load(args[0])
+			s, err := stage.Load(args[0], f.set...)
 			if err != nil {
 				return err
 			}
-			if s, err = script.Read(b); err != nil {
-				return err
-			}
 			return f.run(cmd, s)
 		}}
 	f.add(c)
@@ -154,7 +142,7 @@
 					fmt.Fprintln(out, "  gateway ended badly:", e)
 				}
 			} else {
-				report(out, res)
+				tell(out, res)
 			}
 			broken = broken || module == "brain" && res.Broken()
 		}
@@ -166,11 +154,9 @@
 }
 
 func (f *dayFlags) one(ctx context.Context, out io.Writer, s *script.Script, module string) (*day.Result, error) {
-	mk := func(set *contact.Settings, h contact.Host) host.Module { return brain.New(set, h) }
-	if module != "brain" {
-		if mk = baseline.ByName(module); mk == nil {
-			return nil, fmt.Errorf("module %q: want brain, lottery or random", module)
-		}
+	mk := fleet.Module(module)
+	if mk == nil {
+		return nil, fmt.Errorf("module %q: want brain, lottery or random", module)
 	}
 	if f.virtual {
 		return Virtual(s, mk, f.capture)
@@ -190,7 +176,7 @@
 
 // Virtual puts a day on in virtual time.
 func Virtual(s *script.Script, mk host.Maker, file string) (*day.Result, error) {
-	k := check.New()
+	o := fleet.Options{}
 	var keep *capture.Writer
 	if file != "" {
 		f, err := os.Create(file)
@@ -199,22 +185,15 @@
 		}
 		defer f.Close()
 		keep = capture.NewWriter(f)
+		o.Record = keep.Add
 	}
-	st := stage.New(s, 5060, func(r *api.Record) {
-		k.Add(r)
-		if keep != nil {
-			keep.Add(r)
-		}
-	})
-	stage.NewVirtual(st, mk)
-	st.World.Run(s.Length + 12000)
-	k.Finish()
+	r := fleet.Play(s, mk, o)
 	if keep != nil {
 		if err := keep.Flush(); err != nil {
 			return nil, err
 		}
 	}
-	return &day.Result{Service: st.Service(), Findings: k.Findings, Totals: k.Totals}, nil
+	return &day.Result{Service: r.Service, Findings: r.Findings, Totals: r.Totals}, nil
 }
 
 const serviceHead = "whole  worst10s  worst skill            worst customer         offered   late    cut  unserved  p50 ms  p99 ms  cold  behind  rules"
@@ -256,7 +235,7 @@
 var ruleNames = [...]string{"", "one final answer for each contact, in time, nothing after", "never two rings out", "drains are kept",
 	"no cold switch is pushed over", "the release is awaited"}
 
-func report(out io.Writer, r *day.Result) {
+func tell(out io.Writer, r *day.Result) {
 	s := r.Service
 	fmt.Fprintf(out, "\nService, of simulated switches (value that stood in time and was not cut, over value offered):\n")
 	fmt.Fprintf(out, "  whole day        %.3f\n  worst 10 s       %.3f\n  worst skill      %.3f  %s\n  worst customer   %.3f  %s\n", s.Whole, s.Worst10s,
