Open-loop load from plans and traces, waits from intended times; traces with tools

The users ask for the load generator first. lab/plan draws calls ahead from a seed, lab/load sends them at their times by the kernel's fine clock and measures from the intended time; it judges its own lateness; processes are merged by HDR histograms. trace keeps calls in checksummed blocks that are read up to a damage, imports CSV and JSON lines, cuts, merges, scales, speeds up and anonymises.

--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,356 @@
+// Package load sends planned calls to gateways at the times they were planned for, whatever becomes of those before, and
+// measures waits from the intended times: a gateway that stands still does not slow the load, and what would have come
+// meanwhile is counted with its whole wait. It watches its own lateness, and says when it was itself the bottleneck.
+package load
+
+//tally:standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"runtime"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/sys/unix"
+
+	"cobaltpier/api"
+)
+
+// Waits are kept in µs, from 1 to ten minutes, three digits.
+const (
+	lowest  = 1
+	highest = 600_000_000
+	digits  = 3
+)
+
+// ErrBottleneck says that the generator itself was late: what it measured is not of the gateway alone.
+var ErrBottleneck = errors.New("the generator was the bottleneck")
+
+// Options say where calls go.
+type Options struct {
+	Self    netip.AddrPort
+	Targets []netip.AddrPort // by gateway; calls of higher numbers go round
+	Context string           // trunk-context
+	T1      time.Duration    // first gap between repeats of a set-up
+	Late    time.Duration    // lateness of the generator's slowest thousandth that is allowed
+	Start   time.Time        // when the plan's time 0 is; zero: now
+}
+
+// Result is what was measured. Histograms are of µs and can be merged.
+type Result struct {
+	Intended                                           *hdrhistogram.Histogram // waits till the call stood, from the time it was meant to come
+	Sent                                               *hdrhistogram.Histogram // the same from the time it was sent
+	Late                                               *hdrhistogram.Histogram // from the one to the other
+	Planned, Stood, Refused, Unanswered, Repeats, Past int64
+}
+
+// NewResult is an empty one.
+func NewResult() *Result {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(lowest, highest, digits) }
+	return &Result{Intended: h(), Sent: h(), Late: h()}
+}
+
+// record puts a wait into a histogram; one past its range counts at its end, and in Past.
+func (r *Result) record(h *hdrhistogram.Histogram, d time.Duration) {
+	v := max(lowest, d.Microseconds())
+	if v > highest {
+		v = highest
+		r.Past++
+	}
+	if err := h.RecordValue(v); err != nil {
+		r.Past++
+	}
+}
+
+// Merge adds another process's result.
+func (r *Result) Merge(o *Result) {
+	r.Intended.Merge(o.Intended)
+	r.Sent.Merge(o.Sent)
+	r.Late.Merge(o.Late)
+	r.Planned += o.Planned
+	r.Stood += o.Stood
+	r.Refused += o.Refused
+	r.Unanswered += o.Unanswered
+	r.Repeats += o.Repeats
+	r.Past += o.Past
+}
+
+// Judge says whether the generator kept up: its slowest thousandth is no later than allowed.
+func (r *Result) Judge(allowed time.Duration) error {
+	late := time.Duration(r.Late.ValueAtQuantile(99.9)) * time.Microsecond
+	if late > allowed {
+		return fmt.Errorf("%w: it sent its slowest thousandth %v late or more, %v is allowed", ErrBottleneck, late, allowed)
+	}
+	return nil
+}
+
+type call struct {
+	*api.Call
+	n        int
+	due      time.Time
+	sent     time.Time
+	answered bool // anything came
+	final    bool
+	repeat   *time.Timer
+	giveUp   *time.Timer
+	gap      time.Duration
+	invite   []byte
+}
+
+type runner struct {
+	o     Options
+	conn  *net.UDPConn
+	mu    sync.Mutex
+	calls []call
+	res   *Result
+	open  sync.WaitGroup
+	id    string
+}
+
+// Run sends the calls and waits until each has ended. A call that nobody answers within its patience is called off and
+// counts with that wait: it is not left out.
+func Run(ctx context.Context, calls []*api.Call, o Options) (*Result, error) {
+	if len(o.Targets) == 0 {
+		return nil, fmt.Errorf("load: no gateway to send to")
+	}
+	if o.T1 == 0 {
+		o.T1 = 500 * time.Millisecond
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.Self))
+	if err != nil {
+		return nil, fmt.Errorf("load: %w", err)
+	}
+	defer conn.Close()
+	conn.SetReadBuffer(8 << 20)
+	if o.Start.IsZero() {
+		o.Start = time.Now().Add(50 * time.Millisecond)
+	}
+	r := &runner{o: o, conn: conn, calls: make([]call, len(calls)), res: NewResult(), id: strconv.FormatInt(time.Now().UnixNano()%1e9, 36)}
+	read := make(chan struct{})
+	go func() { defer close(read); r.read() }()
+	r.res.Planned = int64(len(calls))
+	sent := r.send(ctx, calls)
+	done := make(chan struct{})
+	go func() { r.open.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	time.Sleep(50 * time.Millisecond) // the last releases
+	conn.Close()
+	<-read
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.calls[:sent] { // none of them may act any more
+		for _, t := range []*time.Timer{r.calls[i].repeat, r.calls[i].giveUp} {
+			if t != nil {
+				t.Stop()
+			}
+		}
+		r.calls[i].final = true
+	}
+	return r.res, ctx.Err()
+}
+
+// send keeps to the plan. It sleeps by the kernel's own fine clock, for the runtime's timers round up to a millisecond.
+func (r *runner) send(ctx context.Context, calls []*api.Call) int {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	for i, c := range calls {
+		due := r.o.Start.Add(time.Duration(c.AtMs * 1e6))
+		k := &r.calls[i]
+		k.Call, k.n, k.due, k.gap = c, i, due, r.o.T1
+		k.invite = r.request("INVITE", k, nil)
+		for {
+			if ctx.Err() != nil {
+				return i
+			}
+			wait := time.Until(due)
+			if wait <= 0 {
+				break
+			}
+			ts := unix.NsecToTimespec(int64(min(wait, 50*time.Millisecond)))
+			unix.Nanosleep(&ts, nil)
+		}
+		r.open.Add(1)
+		r.mu.Lock()
+		k.sent = time.Now()
+		r.res.record(r.res.Late, k.sent.Sub(due))
+		k.repeat = time.AfterFunc(k.gap, func() { r.again(k) })
+		k.giveUp = time.AfterFunc(time.Until(due)+time.Duration(c.PatienceMs*1e6), func() { r.late(k) })
+		r.mu.Unlock()
+		r.write(k, k.invite)
+	}
+	return len(calls)
+}
+
+func (r *runner) target(k *call) netip.AddrPort { return r.o.Targets[int(k.Gateway)%len(r.o.Targets)] }
+
+func (r *runner) write(k *call, data []byte) { r.conn.WriteToUDPAddrPort(data, r.target(k)) }
+
+// again repeats a set-up that nobody answered (RFC 3261 17.1.1.2).
+func (r *runner) again(k *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k.answered || k.final {
+		return
+	}
+	r.res.Repeats++
+	k.gap *= 2
+	k.repeat = time.AfterFunc(k.gap, func() { r.again(k) })
+	r.write(k, k.invite)
+}
+
+// late: the caller's patience is over.
+func (r *runner) late(k *call) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if k.final {
+		return
+	}
+	k.final = true
+	r.res.Unanswered++
+	wait := time.Duration(k.PatienceMs * 1e6)
+	r.res.record(r.res.Intended, wait)
+	r.res.record(r.res.Sent, wait-k.sent.Sub(k.due))
+	if k.answered {
+		r.write(k, r.request("CANCEL", k, nil))
+	}
+	r.open.Done()
+}
+
+func (r *runner) read() {
+	buf := make([]byte, 1<<16)
+	for {
+		n, _, err := r.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		r.heard(buf[:n], time.Now())
+	}
+}
+
+func (r *runner) heard(d []byte, at time.Time) {
+	if len(d) < 16 {
+		return
+	}
+	if bytes.HasPrefix(d, []byte("BYE ")) {
+		r.released(d)
+		return
+	}
+	id := field(d, "Call-ID")
+	if !bytes.HasPrefix(d, []byte("SIP/2.0 ")) || !bytes.HasPrefix(id, []byte(r.id)) || !bytes.HasSuffix(field(d, "CSeq"), []byte("INVITE")) {
+		return
+	}
+	i, err := strconv.ParseInt(string(id[len(r.id)+1:]), 16, 64)
+	if err != nil || i < 0 || int(i) >= len(r.calls) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := &r.calls[i]
+	if k.Call == nil {
+		return
+	}
+	k.answered = true
+	switch {
+	case d[8] == '1':
+		return
+	case d[8] == '2':
+		to := bytes.Clone(field(d, "To"))
+		r.write(k, r.request("ACK", k, to))
+		if k.final {
+			return
+		}
+		r.end(k)
+		r.res.Stood++
+		r.res.record(r.res.Intended, at.Sub(k.due))
+		r.res.record(r.res.Sent, at.Sub(k.sent))
+		time.AfterFunc(time.Duration(k.HoldMs*1e6), func() {
+			r.write(k, r.request("BYE", k, to))
+			r.open.Done()
+		})
+	default:
+		r.write(k, r.request("ACK", k, bytes.Clone(field(d, "To"))))
+		if k.final {
+			return
+		}
+		r.end(k)
+		r.res.Refused++
+		r.open.Done()
+	}
+}
+
+func (r *runner) end(k *call) {
+	k.final = true
+	k.repeat.Stop()
+	k.giveUp.Stop()
+}
+
+// released answers a BYE from the other side.
+func (r *runner) released(d []byte) {
+	var b []byte
+	b = append(b, "SIP/2.0 200 OK"...)
+	for _, name := range []string{"Via", "From", "To", "Call-ID", "CSeq"} {
+		b = append(append(append(append(b, "\r\n"...), name...), ": "...), field(d, name)...)
+	}
+	b = append(b, "\r\nContent-Length: 0\r\n\r\n"...)
+	for _, t := range r.o.Targets { // the Via says who asked
+		if bytes.Contains(field(d, "Via"), []byte(t.String())) {
+			r.conn.WriteToUDPAddrPort(b, t)
+		}
+	}
+}
+
+func field(d []byte, name string) []byte {
+	i := bytes.Index(d, []byte("\r\n"+name+": "))
+	if i < 0 {
+		return nil
+	}
+	v := d[i+len(name)+4:]
+	if j := bytes.IndexByte(v, '\r'); j >= 0 {
+		v = v[:j]
+	}
+	return v
+}
+
+// request is a message of a call; written by hand, since a generator must cost less than what it measures.
+func (r *runner) request(method string, k *call, to []byte) []byte {
+	n := fmt.Sprintf("%s.%08x", r.id, k.n)
+	b := make([]byte, 0, 900)
+	at := r.target(k).String()
+	b = fmt.Appendf(b, "%s sip:%s", method, k.Number)
+	if k.Group != "" {
+		b = fmt.Appendf(b, ";tgrp=%s;trunk-context=%s", k.Group, r.o.Context)
+	}
+	branch, seq := n, 1
+	switch method {
+	case "BYE":
+		branch, seq = n+"b", 2
+	case "ACK":
+		branch = n + "a"
+	}
+	b = fmt.Appendf(b, "@%s SIP/2.0\r\nVia: SIP/2.0/UDP %s;rport;branch=z9hG4bK%s\r\nFrom: <sip:staff@%s>;tag=%s\r\nTo: ", at, r.conn.LocalAddr(), branch, k.Customer, n)
+	if to == nil {
+		b = fmt.Appendf(b, "<sip:%s@%s>", k.Number, at)
+	} else {
+		b = append(b, to...)
+	}
+	b = fmt.Appendf(b, "\r\nCall-ID: %s\r\nCSeq: %d %s\r\nContact: <sip:%s>\r\nMax-Forwards: 70\r\nSession-ID: %032x;remote=%032x\r\n", n, seq, method, r.conn.LocalAddr(),
+		uint64(k.n)+1<<40, 0)
+	if method == "INVITE" {
+		b = fmt.Appendf(b, "P-Preferred-Service: urn:urn-7:%s\r\nExpires: %d\r\nContent-Type: application/sdp\r\nContent-Length: 3\r\n\r\nv=0", k.Skill,
+			int(math.Ceil(k.PatienceMs/1000)))
+	} else {
+		b = append(b, "Content-Length: 0\r\n\r\n"...)
+	}
+	return b
+}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -17,6 +17,7 @@
 	"cobaltpier/intake"
 	"cobaltpier/lab/caller"
 	"cobaltpier/lab/core"
+	"cobaltpier/lab/plan"
 	"cobaltpier/lab/script"
 	"cobaltpier/lab/world"
 	"cobaltpier/signal"
@@ -380,9 +381,9 @@
 				weights = append(weights, (1+s.Load.Skew*(2*n.Chance()-1))/p.model.Setup)
 			}
 		}
-		k := pick(n.Chance(), len(s.Skills), func(i int) float64 { return s.Skills[i].Share })
-		c := pick(n.Chance(), len(s.Payers), func(i int) float64 { return s.Payers[i].Share })
-		home := pick(n.Chance(), len(weights), func(i int) float64 { return weights[i] })
+		k := plan.Pick(n.Chance(), len(s.Skills), func(i int) float64 { return s.Skills[i].Share })
+		c := plan.Pick(n.Chance(), len(s.Payers), func(i int) float64 { return s.Payers[i].Share })
+		home := plan.Pick(n.Chance(), len(weights), func(i int) float64 { return weights[i] })
 		skill := s.Skills[k]
 		st.Gateways[g].Callers.Plan(&caller.Arrival{At: at, Number: fmt.Sprintf("+1418%07d", int(n.Chance()*float64(s.Load.Numbers))),
 			Skill: skill.Name, Customer: s.Payers[c].Name, Group: Group(home), Hold: -math.Log(1-n.Chance()) * skill.Hold,
@@ -417,20 +418,6 @@
 // Group is the name of the trunk group to a pool.
 func Group(pool int) string { return fmt.Sprintf("TG-%d", pool) }
 
-func pick(u float64, n int, weight func(int) float64) int {
-	sum := 0.0
-	for i := 0; i < n; i++ {
-		sum += weight(i)
-	}
-	u *= sum
-	for i := 0; i < n; i++ {
-		if u -= weight(i); u < 0 {
-			return i
-		}
-	}
-	return n - 1
-}
-
 // Settings are what the decision module of a gateway is told.
 func (st *Stage) Settings(g *Gateway) *contact.Settings {
 	s := st.Script
--- /dev/null
+++ b/trace/trace.go
@@ -0,0 +1,411 @@
+// Package trace reads, writes and reworks traces of calls: api/trace.proto has the format.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"compress/gzip"
+	"encoding/binary"
+	"encoding/csv"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"hash/fnv"
+	"io"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"cobaltpier/api"
+)
+
+const (
+	magic     = "cobtrc1\n"
+	perBlock  = 4096
+	mostBlock = 1 << 26 // bytes: no block is longer, whatever its length says
+)
+
+// Writer writes a trace. Calls must come in the order of their times.
+type Writer struct {
+	w     io.Writer
+	block api.Block
+	last  float64
+	begun bool
+}
+
+// NewWriter writes to w.
+func NewWriter(w io.Writer) *Writer { return &Writer{w: w} }
+
+// Add appends a call.
+func (w *Writer) Add(c *api.Call) error {
+	if c.AtMs < w.last || math.IsNaN(c.AtMs) || c.AtMs < 0 {
+		return fmt.Errorf("trace: a call at %v ms after one at %v ms", c.AtMs, w.last)
+	}
+	w.last = c.AtMs
+	w.block.Calls = append(w.block.Calls, c)
+	if len(w.block.Calls) >= perBlock {
+		return w.Flush()
+	}
+	return nil
+}
+
+// Flush writes what waits.
+func (w *Writer) Flush() error {
+	var out bytes.Buffer
+	if !w.begun {
+		out.WriteString(magic)
+		w.begun = true
+	}
+	if len(w.block.Calls) > 0 {
+		raw, err := proto.Marshal(&w.block)
+		if err != nil {
+			return fmt.Errorf("trace: %w", err)
+		}
+		var z bytes.Buffer
+		g := gzip.NewWriter(&z)
+		g.Write(raw)
+		if err := g.Close(); err != nil {
+			return fmt.Errorf("trace: %w", err)
+		}
+		var head [8]byte
+		binary.LittleEndian.PutUint32(head[:], uint32(z.Len()))
+		binary.LittleEndian.PutUint32(head[4:], crc32.ChecksumIEEE(z.Bytes()))
+		out.Write(head[:])
+		out.Write(z.Bytes())
+		w.block.Calls = nil
+	}
+	if _, err := w.w.Write(out.Bytes()); err != nil {
+		return fmt.Errorf("trace: %w", err)
+	}
+	return nil
+}
+
+// ErrDamaged says that a trace was read up to a place where it is cut short or damaged.
+var ErrDamaged = errors.New("damaged")
+
+// Read calls do with each call in order. Where the file is damaged it returns an error that wraps ErrDamaged and names
+// the block and the byte; all blocks before that were handed on.
+func Read(r io.Reader, do func(*api.Call) error) error {
+	rd := bufio.NewReaderSize(r, 1<<16)
+	head := make([]byte, len(magic))
+	if _, err := io.ReadFull(rd, head); err != nil || string(head) != magic {
+		return fmt.Errorf("trace: no trace: want it to begin with %q: %w", magic, ErrDamaged)
+	}
+	at := int64(len(magic))
+	last := 0.0
+	for n := 1; ; n++ {
+		bad := func(why string, err error) error {
+			if err != nil {
+				why += ": " + err.Error()
+			}
+			return fmt.Errorf("trace: block %d at byte %d: %s: %w", n, at, why, ErrDamaged)
+		}
+		var h [8]byte
+		if k, err := io.ReadFull(rd, h[:]); err == io.EOF && k == 0 {
+			return nil
+		} else if err != nil {
+			return bad("cut short", nil)
+		}
+		size := binary.LittleEndian.Uint32(h[:])
+		if size > mostBlock {
+			return bad(fmt.Sprintf("%d bytes are too many", size), nil)
+		}
+		var z bytes.Buffer
+		if k, err := io.CopyN(&z, rd, int64(size)); err != nil {
+			return bad(fmt.Sprintf("cut short after %d of %d bytes", k, size), nil)
+		}
+		if crc32.ChecksumIEEE(z.Bytes()) != binary.LittleEndian.Uint32(h[4:]) {
+			return bad("wrong checksum", nil)
+		}
+		g, err := gzip.NewReader(&z)
+		if err != nil {
+			return bad("gzip", err)
+		}
+		raw, err := io.ReadAll(io.LimitReader(g, 8*mostBlock))
+		if err != nil {
+			return bad("gzip", err)
+		}
+		var b api.Block
+		if err := proto.Unmarshal(raw, &b); err != nil {
+			return bad("protobuf", err)
+		}
+		for _, c := range b.Calls {
+			if !(c.AtMs >= last) {
+				return bad(fmt.Sprintf("a call at %v ms after one at %v ms", c.AtMs, last), nil)
+			}
+			last = c.AtMs
+			if err := do(c); err != nil {
+				return err
+			}
+		}
+		at += 8 + int64(size)
+	}
+}
+
+// All reads a whole trace; what was read stands beside the error.
+func All(r io.Reader) ([]*api.Call, error) {
+	var of []*api.Call
+	err := Read(r, func(c *api.Call) error { of = append(of, c); return nil })
+	return of, err
+}
+
+// columns of CSV and JSON lines, and where their values go.
+var columns = map[string]func(*api.Call, string) error{
+	"at_ms":       func(c *api.Call, s string) error { return number(&c.AtMs, s) },
+	"gateway":     func(c *api.Call, s string) error { return whole(&c.Gateway, s) },
+	"number":      func(c *api.Call, s string) error { c.Number = s; return nil },
+	"skill":       func(c *api.Call, s string) error { c.Skill = s; return nil },
+	"customer":    func(c *api.Call, s string) error { c.Customer = s; return nil },
+	"group":       func(c *api.Call, s string) error { c.Group = s; return nil },
+	"hold_ms":     func(c *api.Call, s string) error { return number(&c.HoldMs, s) },
+	"patience_ms": func(c *api.Call, s string) error { return number(&c.PatienceMs, s) },
+	"answer":      func(c *api.Call, s string) error { return whole(&c.Answer, s) },
+	"wait_ms":     func(c *api.Call, s string) error { return number(&c.WaitMs, s) },
+}
+
+func number(to *float64, s string) error {
+	if s == "" {
+		return nil
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= 0) || math.IsInf(v, 0) {
+		return fmt.Errorf("want a number from 0 up, got %q", s)
+	}
+	*to = v
+	return nil
+}
+
+func whole(to *uint32, s string) error {
+	if s == "" {
+		return nil
+	}
+	v, err := strconv.ParseUint(s, 10, 32)
+	if err != nil {
+		return fmt.Errorf("want a whole number, got %q", s)
+	}
+	*to = uint32(v)
+	return nil
+}
+
+func known() string {
+	var names []string
+	for k := range columns {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return strings.Join(names, ", ")
+}
+
+// FromCSV reads calls from CSV with a line of column names; at_ms and number must be among them. Errors name the line.
+func FromCSV(r io.Reader) ([]*api.Call, error) {
+	rd := csv.NewReader(r)
+	head, err := rd.Read()
+	if err != nil {
+		return nil, fmt.Errorf("csv: no line of column names: %w", err)
+	}
+	for _, h := range head {
+		if columns[h] == nil {
+			return nil, fmt.Errorf("csv: line 1: column %q is not known; known: %s", h, known())
+		}
+	}
+	if !slices.Contains(head, "at_ms") || !slices.Contains(head, "number") {
+		return nil, fmt.Errorf("csv: line 1: want at least at_ms and number")
+	}
+	var of []*api.Call
+	for {
+		row, err := rd.Read()
+		if errors.Is(err, io.EOF) {
+			return sorted(of), nil
+		}
+		if err != nil {
+			return sorted(of), fmt.Errorf("csv: %w", err)
+		}
+		c := &api.Call{}
+		for i, v := range row {
+			if err := columns[head[i]](c, strings.TrimSpace(v)); err != nil {
+				n, _ := rd.FieldPos(i)
+				return sorted(of), fmt.Errorf("csv: line %d: %s: %w", n, head[i], err)
+			}
+		}
+		of = append(of, c)
+	}
+}
+
+// FromJSON reads calls from lines of JSON objects with the same names as CSV's columns.
+func FromJSON(r io.Reader) ([]*api.Call, error) {
+	var of []*api.Call
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, 1<<20)
+	for n := 1; sc.Scan(); n++ {
+		if len(bytes.TrimSpace(sc.Bytes())) == 0 {
+			continue
+		}
+		var m map[string]any
+		if err := json.Unmarshal(sc.Bytes(), &m); err != nil {
+			return sorted(of), fmt.Errorf("json: line %d: %w", n, err)
+		}
+		c := &api.Call{}
+		for k, v := range m {
+			set := columns[k]
+			if set == nil {
+				return sorted(of), fmt.Errorf("json: line %d: %q is not known; known: %s", n, k, known())
+			}
+			text := fmt.Sprint(v)
+			if f, ok := v.(float64); ok {
+				text = strconv.FormatFloat(f, 'f', -1, 64)
+			}
+			if err := set(c, text); err != nil {
+				return sorted(of), fmt.Errorf("json: line %d: %s: %w", n, k, err)
+			}
+		}
+		of = append(of, c)
+	}
+	if err := sc.Err(); err != nil {
+		return sorted(of), fmt.Errorf("json: %w", err)
+	}
+	return sorted(of), nil
+}
+
+func sorted(of []*api.Call) []*api.Call {
+	slices.SortStableFunc(of, func(a, b *api.Call) int {
+		switch {
+		case a.AtMs < b.AtMs:
+			return -1
+		case a.AtMs > b.AtMs:
+			return 1
+		}
+		return 0
+	})
+	return of
+}
+
+// Cut keeps the calls from a time on and before another, and counts their times from there.
+func Cut(of []*api.Call, from, to float64) []*api.Call {
+	var out []*api.Call
+	for _, c := range of {
+		if c.AtMs >= from && c.AtMs < to {
+			c = proto.CloneOf(c)
+			c.AtMs -= from
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// Merge puts traces together by their times.
+func Merge(of ...[]*api.Call) []*api.Call { return sorted(slices.Concat(of...)) }
+
+// Speed plays times of coming so many times faster. Holds and patience are people's and stay as they are, unless all is
+// set: then they shrink too, and load per circuit stays what it was.
+func Speed(of []*api.Call, factor float64, all bool) []*api.Call {
+	out := make([]*api.Call, len(of))
+	for i, c := range of {
+		c = proto.CloneOf(c)
+		c.AtMs /= factor
+		if all {
+			c.HoldMs /= factor
+			c.PatienceMs /= factor
+		}
+		out[i] = c
+	}
+	return out
+}
+
+// Scale makes so many times as many calls: each is kept, left out or doubled by a hash of the seed and its place, and
+// copies come within jitter ms after their call, so that they do not all come at once.
+func Scale(of []*api.Call, factor, jitter float64, seed uint64) []*api.Call {
+	var out []*api.Call
+	for i, c := range of {
+		n := int(factor)
+		if chance(seed, uint64(i), 0) < factor-math.Floor(factor) {
+			n++
+		}
+		for k := range n {
+			d := proto.CloneOf(c)
+			if k > 0 {
+				d.AtMs += jitter * chance(seed, uint64(i), uint64(k))
+			}
+			out = append(out, d)
+		}
+	}
+	return sorted(out)
+}
+
+func chance(seed, i, k uint64) float64 {
+	var x [24]byte
+	binary.LittleEndian.PutUint64(x[:], seed)
+	binary.LittleEndian.PutUint64(x[8:], i)
+	binary.LittleEndian.PutUint64(x[16:], k)
+	h := fnv.New64a()
+	h.Write(x[:])
+	v := h.Sum64()
+	v = (v ^ v>>33) * 0xff51afd7ed558ccd
+	return float64((v^v>>33)>>11) / (1 << 53)
+}
+
+// Anonymise puts other digits in the place of the numbers called, the same for the same number and key, and keeps their
+// first digits, which routing goes by. Who has no key can't tell the numbers; one number can be followed through the
+// trace, since redials are known by it.
+func Anonymise(of []*api.Call, key string, keep int) []*api.Call {
+	out := make([]*api.Call, len(of))
+	for i, c := range of {
+		c = proto.CloneOf(c)
+		c.Number = hidden(c.Number, key, keep)
+		out[i] = c
+	}
+	return out
+}
+
+func hidden(number, key string, keep int) string {
+	if len(number) <= keep {
+		return number
+	}
+	mac := hmacSum(key, number)
+	b := []byte(number)
+	for i := keep; i < len(b); i++ {
+		if b[i] >= '0' && b[i] <= '9' {
+			b[i] = '0' + mac[i%len(mac)]%10
+		}
+	}
+	return string(b)
+}
+
+// Summary says in a few lines what a trace holds.
+func Summary(of []*api.Call) string {
+	if len(of) == 0 {
+		return "no calls"
+	}
+	skills, gates := map[string]int{}, map[uint32]int{}
+	for _, c := range of {
+		skills[c.Skill]++
+		gates[c.Gateway]++
+	}
+	span := of[len(of)-1].AtMs - of[0].AtMs
+	var names []string
+	for k, n := range skills {
+		names = append(names, fmt.Sprintf("%s %d", k, n))
+	}
+	slices.Sort(names)
+	rate := math.NaN()
+	if span > 0 {
+		rate = float64(len(of)-1) / span * 1000
+	}
+	return fmt.Sprintf("%d calls in %.1f s, %.1f a second, at %d gateways; by skill: %s", len(of), span/1000, rate, len(gates), strings.Join(names, ", "))
+}
+
+// Fingerprint names a trace's calls.
+func Fingerprint(of []*api.Call) string {
+	h := fnv.New64a()
+	for _, c := range of {
+		b, err := proto.MarshalOptions{Deterministic: true}.Marshal(c)
+		if err == nil {
+			h.Write(b)
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
