--- a/check/check.go
+++ b/check/check.go
@@ -199,8 +199,10 @@
 				}
 			}
 		}
-	case "edge-kill": // what it held is no longer its duty; a repeat that reaches the next process is new there
-		k.killed[m.Who] = at
+	case "edge-kill", "edge-start": // what it held is no longer its duty; a repeat that reaches the next process is new there
+		if m.What == "edge-kill" {
+			k.killed[m.Who] = at
+		}
 		for _, c := range k.contacts {
 			if c.edge == m.Who {
 				for _, o := range c.out {
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -72,7 +72,7 @@
 		patience = w
 	}
 	c := &contact.Contact{Skill: skill, Customer: e.payers[req.From().Address.Host], Number: user, Came: e.now,
-		Until: e.now + patience - e.cfg.Margin, HomeNumber: -1}
+		Until: e.since() + patience - e.cfg.Margin, HomeNumber: -1}
 	if g := e.byName[param(params, "tgrp")]; g != nil {
 		c.HomeNumber = g.Pool
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -101,6 +101,20 @@
 	standing int
 	closing  bool
 	now      float64
+	looked   float64 // when the latest batch ended, 0: none yet
+}
+
+// beat is how often an edge wants to be woken even if nothing is due, ms: so it knows when it stood still.
+const beat = 100.0
+
+// since is the earliest time at which what came in this batch may have come: a process that was stopped finds what came
+// meanwhile at once, and a caller's patience ran all the time. It guards rule 1 against stalls of any cause. What comes
+// just at the end of a stall gets less time than its caller has.
+func (e *Edge) since() float64 {
+	if e.looked > 0 && e.now-e.looked > 2*beat {
+		return e.looked
+	}
+	return e.now
 }
 
 // New makes an edge; its module comes from mk.
@@ -174,6 +188,7 @@
 // Wake ends a batch: timers that are due run, then what came is offered to the module.
 func (e *Edge) Wake(now float64) {
 	e.now, e.sip.Now = now, now
+	defer func() { e.looked = now }()
 	e.timers.Run(now)
 	if len(e.waiting) == 0 {
 		return
@@ -198,7 +213,7 @@
 	if len(e.waiting) > 0 {
 		return e.now
 	}
-	return e.timers.Next()
+	return math.Min(e.timers.Next(), math.Max(e.looked, e.now)+beat)
 }
 
 // Close lets no new contact in; those held go on.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -210,7 +210,7 @@
 	if w, s := r.e.Held(); w != 0 || s != 0 {
 		t.Errorf("held %d, standing %d", w, s)
 	}
-	r.pass(40000)
+	r.pass(100000)
 	if d, x, timers := r.e.Open(); d+x+timers != 0 {
 		t.Errorf("left over: %d dialogs, %d transactions, %d timers", d, x, timers)
 	}
@@ -394,6 +394,35 @@
 	}
 }
 
+// An edge that stood still finds an INVITE that may have come at any time since: it is answered within the patience from
+// the earliest. One that was merely idle takes it as new.
+func TestStoodStill(t *testing.T) {
+	r := newRig(t)
+	r.m.ended = func(_ float64, x *contact.Ring) {
+		if !x.Contact.Over {
+			r.m.h.Abandon(x.Contact)
+		}
+	}
+	r.pass(1000)
+	r.now += 4000
+	r.get(caller, callerSays("INVITE", "1c", ""))
+	r.pass(4999)
+	if r.count(caller, "SIP/2.0 500") != 0 {
+		t.Error("answered before its time")
+	}
+	r.pass(2)
+	r.sent(caller, "SIP/2.0 500")
+	for range 40 { // idle, woken at its beat
+		r.now = r.e.Next()
+		r.e.Wake(r.now)
+	}
+	r.get(caller, callerSays("INVITE", "2c", ""))
+	r.pass(8990)
+	if r.e.Counts.Abandoned != 1 {
+		t.Error("an idle edge took a new contact for an old one")
+	}
+}
+
 // What the intake turns away gets one answer, also when its INVITE is repeated after room has come.
 func TestTurnedAwayStaysSo(t *testing.T) {
 	r := newRig(t)
--- /dev/null
+++ b/lab/hunt/hunt_test.go
@@ -0,0 +1,80 @@
+package hunt
+
+import (
+	"context"
+	"embed"
+	"encoding/json"
+	"path"
+	"testing"
+
+	"cobaltpier/check"
+	"cobaltpier/lab/fleet"
+	"cobaltpier/lab/script"
+)
+
+//go:embed corpus
+var corpus embed.FS
+
+// TestCorpus plays every day that a hunt found and that was mended: no rule may break on it again.
+func TestCorpus(t *testing.T) {
+	files, err := corpus.ReadDir("corpus")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files {
+		if path.Ext(f.Name()) != ".json" {
+			continue
+		}
+		src, err := corpus.ReadFile("corpus/" + f.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &script.Script{}
+		if err := json.Unmarshal(src, s); err != nil {
+			t.Fatalf("%s: %v", f.Name(), err)
+		}
+		if r := fleet.Play(s, fleet.Module("brain"), fleet.Options{}); len(r.Findings) > 0 {
+			t.Errorf("%s: %v", f.Name(), r.Findings[0])
+		}
+	}
+}
+
+// TestSmallHunt plays some days by the real module, the same with every run.
+func TestSmallHunt(t *testing.T) {
+	r := Run(context.Background(), Options{Days: 24, Seed: 99})
+	for _, f := range r.Broken {
+		t.Error(f.What)
+	}
+	if r.Days != 24 || len(r.Worst) == 0 || r.Cold == 0 {
+		t.Errorf("%d days, %d worst, cold %v", r.Days, len(r.Worst), r.Cold)
+	}
+}
+
+// faulty breaks a rule on days with a stall and more than one gateway.
+func faulty(s *script.Script) *fleet.Result {
+	r := &fleet.Result{}
+	for _, t := range s.Troubles {
+		if t.Kind == "stall" && s.Gateways.Count > 1 {
+			r.Findings = []check.Finding{{Rule: 2, What: "made up"}}
+		}
+	}
+	return r
+}
+
+// A hunt finds what breaks a rule, cuts it down to that, and keeps its finds when it is stopped half way.
+func TestFindAndShrink(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	told := 0
+	r := Run(ctx, Options{Days: 100000, Seed: 3, Play: faulty, Found: func(Find) {
+		if told++; told == 5 {
+			cancel()
+		}
+	}})
+	if r.Days >= 100000 || len(r.Broken) < 5 || told < 5 {
+		t.Fatalf("%d days, %d finds, %d told", r.Days, len(r.Broken), told)
+	}
+	small := Shrink(r.Broken[0].Script, func(s *script.Script) bool { return Judge(s, faulty(s)).Rule == 2 }, 1000)
+	if len(small.Troubles) != 1 || small.Troubles[0].Kind != "stall" || small.Gateways.Count != 2 || small.Pools.Count != 1 || small.Length > 5000 {
+		t.Errorf("cut down to %d gateways, %d switches, %v ms, %v", small.Gateways.Count, small.Pools.Count, small.Length, small.Troubles)
+	}
+}
--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,102 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"cobaltpier/api"
+)
+
+func every(n int, gap float64) []*api.Call {
+	var of []*api.Call
+	for i := range n {
+		of = append(of, &api.Call{AtMs: float64(i) * gap, Number: "+1", Skill: "a", Customer: "x", HoldMs: 20, PatienceMs: 5000})
+	}
+	return of
+}
+
+// A stand-in stands still for half of the run: the calls that were meant to come meanwhile count with their whole wait,
+// and the load does not slow down. Bounds are wide: the machine may be busy.
+func TestStandingStill(t *testing.T) {
+	at := netip.MustParseAddrPort("127.73.0.2:19063")
+	s := &Still{Delay: 10 * time.Millisecond, Pauses: []Pause{{300 * time.Millisecond, 600 * time.Millisecond}}}
+	start := time.Now().Add(100 * time.Millisecond)
+	if err := s.Serve(at, start); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	calls := every(600, 2) // 1.2 s
+	r, err := Run(context.Background(), calls, Options{Self: netip.MustParseAddrPort("127.73.0.1:19063"), Targets: []netip.AddrPort{at}, Start: start})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Planned != 600 || r.Stood != 600 || r.Intended.TotalCount() != 600 {
+		t.Errorf("%d of %d stood, %d counted", r.Stood, r.Planned, r.Intended.TotalCount())
+	}
+	var want []time.Duration
+	for _, c := range calls {
+		want = append(want, s.True(time.Duration(c.AtMs*1e6)))
+	}
+	slices.Sort(want)
+	for _, q := range []float64{75, 90, 99} {
+		got, w := time.Duration(r.Intended.ValueAtQuantile(q))*time.Microsecond, want[int(q/100*600)]
+		if got < w-20*time.Millisecond || got > w+200*time.Millisecond {
+			t.Errorf("p%v %v, want %v", q, got, w)
+		}
+	}
+}
+
+// Nobody answers: each call counts with its patience, and none is left out.
+func TestNobodyAnswers(t *testing.T) {
+	calls := every(20, 5)
+	for _, c := range calls {
+		c.PatienceMs = 300
+	}
+	r, err := Run(context.Background(), calls, Options{Self: netip.MustParseAddrPort("127.73.0.3:19063"), Targets: []netip.AddrPort{netip.MustParseAddrPort("127.73.0.4:19063")},
+		T1: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Unanswered != 20 || r.Repeats < 20 || r.Intended.Min() < 290_000 {
+		t.Errorf("%d unanswered, %d repeats, least wait %d µs", r.Unanswered, r.Repeats, r.Intended.Min())
+	}
+}
+
+// Merged parts are the whole; a wait past the range is counted at its end and told; a late generator is told.
+func TestMergeAndJudge(t *testing.T) {
+	whole, merged := NewResult(), NewResult()
+	for p := range 64 {
+		part := NewResult()
+		for i := range 100 {
+			d := time.Duration(p*100+i) * time.Millisecond
+			part.record(part.Intended, d)
+			whole.record(whole.Intended, d)
+		}
+		part.Planned = 100
+		merged.Merge(part)
+	}
+	if !merged.Intended.Equals(whole.Intended) || merged.Planned != 6400 {
+		t.Error("merged parts are not the whole")
+	}
+	merged.record(merged.Intended, time.Hour)
+	if merged.Past != 1 || merged.Intended.TotalCount() != 6401 {
+		t.Errorf("%d past the range, %d counted", merged.Past, merged.Intended.TotalCount())
+	}
+	merged.record(merged.Late, time.Millisecond)
+	if err := merged.Judge(5 * time.Millisecond); err != nil {
+		t.Error(err)
+	}
+	for range 10 {
+		merged.record(merged.Late, 50*time.Millisecond)
+	}
+	if err := merged.Judge(5 * time.Millisecond); !errors.Is(err, ErrBottleneck) {
+		t.Errorf("a late generator: %v", err)
+	}
+	if _, err := Run(context.Background(), nil, Options{}); err == nil {
+		t.Error("no gateway: no error")
+	}
+}
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -60,7 +60,10 @@
 type Pools struct {
 	Count  int
 	Spread float64 // their sizes differ by this part, up or down
-	Model  core.Model
+	// Sizes, if set, are theirs in place of Spread; Regions the numbers of their regions.
+	Sizes   []float64
+	Regions []int
+	Model   core.Model
 }
 
 // Load is what comes.
--- /dev/null
+++ b/lab/script/script_test.go
@@ -0,0 +1,82 @@
+package script
+
+import (
+	"strings"
+	"testing"
+
+	"cobaltpier/conf"
+)
+
+const benchForm = `{"v":1,"site":"s","noise":7,"length":4000000,"tick":5000,"zones":["a","b"],"net":{"same":5000,"cross":12000,"jitter":0.1},
+"traffic":{"load":0.9},"clients":{"retries":2,"try_share":0.33,"backoff":"exp","backoff_us":800000,"honour":0.5,"max_retry_after":2000000},
+"discovery":{"notice":2000000,"silent_notice":6000000,"add":1000000,"spread":90000},
+"allow":{"peers":true,"cancel":true,"retry_after":true,"max_attempts":5,"max_open":1000,"peer_delay":9000},"drain_grace":250000,"fall_multiple":2.5,"fall_for":1000000,
+"classes":[{"name":"shift-lookup","share":1,"work":2000,"aim":2000000,"deadline":9000000,"worth":1,"late_worth":0.1}],
+"tiers":[{"kinds":[{"cold_from":0.4,"cold":9000000,"error_rate":0}],"report_fields":["x0","x1","util","queue"],"report_period":250000,"report_delay":100000,
+"stated_cold_from":0.36,"stated_cold":14000000}],
+"servers":[{"zone":0,"speed":0.2},{"zone":1,"speed":0.1}],"balancers":[{"zone":0},{"zone":1},{"zone":1}],
+"troubles":[{"kind":"slow","at":500000,"len":1000000,"size":2,"on":[1]},{"kind":"mass_restart","at":1000000,"len":500000,"size":1,"on":[1]},{"kind":"odd","at":1,"len":1}],
+"fam":{"capacity":60,"drift":15000000,"queue":3000000,"reject":0.2,"release":500000,"repeat":0.5,"resend":400000,"tells_wait":true,"cancel_drops":true,"hold":[3000000],"size":[300,200]}}`
+
+func TestBenchDay(t *testing.T) {
+	s, notes, err := FromBench([]byte(benchForm))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := s.Pools.Model
+	if s.Gateways.Count != 3 || s.Net.Cross != 12 || s.Pools.Count != 2 || s.Load.Rate != 54 || s.Rules.Clear != 500 || m.Times.T1 != 400 || len(s.Troubles) != 2 ||
+		s.Troubles[1].Region != "b" || s.Troubles[0].Part != 0.5 || strings.Join(m.Reports, " ") != "util queue" {
+		t.Errorf("%+v", s)
+	}
+	if w := m.Setup + m.Answer + m.Release; w < 33.3 || w > 33.4 { // 30 calls a second at a mean switch
+		t.Errorf("work of a call %v ms", w)
+	}
+	if !strings.Contains(strings.Join(notes, "; "), `"odd"`) {
+		t.Errorf("notes %v", notes)
+	}
+	for _, bad := range []string{"{", `{"v":2}`, `{"v":1}`, strings.Replace(benchForm, `"capacity":60`, `"capacity":0`, 1)} {
+		if _, _, err := FromBench([]byte(bad)); err == nil {
+			t.Errorf("%.30q: no error", bad)
+		}
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for in, want := range map[string]string{
+		"trouble \"earthquake\" {\n at = \"1s\"\n}": `day.hcl:1: trouble "earthquake" is not known`,
+		"trouble \"slow\" {\n}":                     `day.hcl:1: trouble: want at =`,
+		"length = \"10ms\"":                         `day.hcl:1: length: want a duration from "1s"`,
+		"pools {\n reports = [\"mood\"]\n}":         `day.hcl:2: reports: want some of util`,
+		"pool {\n}":                                 `day.hcl:1: unknown block "pool"`,
+	} {
+		b, err := conf.Parse("day.hcl", []byte(in))
+		if err == nil {
+			_, err = Read(b)
+		}
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", in, err, want)
+		}
+	}
+}
+
+// An override puts a value in place, in a block that is there or not; what it names wrongly is refused like any key.
+func TestOverride(t *testing.T) {
+	b, err := conf.Parse("day.hcl", []byte("gateways {\n count = 3\n}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range [][2]string{{"gateways.count", "5"}, {"net.loss", "0.25"}, {"length", `"3s"`}} {
+		if err := b.Override(x[0], x[1]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, err := Read(b)
+	if err != nil || s.Gateways.Count != 5 || s.Net.Loss != 0.25 || s.Length != 3000 {
+		t.Errorf("%v: %+v", err, s)
+	}
+	b, _ = conf.Parse("day.hcl", nil)
+	b.Override("net.lost", "1")
+	if _, err := Read(b); err == nil || !strings.Contains(err.Error(), `unknown key "lost"`) {
+		t.Errorf("unknown key: %v", err)
+	}
+}
--- a/lab/stage/days.go
+++ b/lab/stage/days.go
@@ -48,6 +48,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("day: %w", err)
 		}
+		var head struct{ V int }
+		if json.Unmarshal(src, &head); head.V > 0 { // a day of the bench
+			s, _, err := script.FromBench(src)
+			return s, err
+		}
 		s := &script.Script{}
 		if err := json.Unmarshal(src, s); err != nil {
 			return nil, fmt.Errorf("day %s: %w", name, err)
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -114,11 +114,18 @@
 	for i := 0; i < s.Pools.Count; i++ {
 		m := s.Pools.Model
 		size := 1 + s.Pools.Spread*(2*st.names.Chance()-1)
+		region := s.Regions[i%len(s.Regions)]
+		if i < len(s.Pools.Sizes) {
+			size = s.Pools.Sizes[i]
+		}
+		if i < len(s.Pools.Regions) {
+			region = s.Regions[s.Pools.Regions[i]%len(s.Regions)]
+		}
 		for _, v := range []*float64{&m.Setup, &m.Answer, &m.Release, &m.Repeat, &m.Reject} {
 			*v /= size
 		}
 		m.Name = fmt.Sprintf("switch-%d", i)
-		p := &place{number: i, region: s.Regions[i%len(s.Regions)], model: m, addr: addr(3, i, port), id: fmt.Sprintf("m%d", i),
+		p := &place{number: i, region: region, model: m, addr: addr(3, i, port), id: fmt.Sprintf("m%d", i),
 			state: api.State_READY, start: -1}
 		st.places = append(st.places, p)
 		st.boot(p, false)
--- a/lab/stage/trouble.go
+++ b/lab/stage/trouble.go
@@ -91,7 +91,10 @@
 				g := g
 				st.Mark("edge-kill", g.Name, "", nil)
 				st.Fleet.Kill(g.Number)
-				w.At(w.Now+300+700*st.names.Chance(), func() { st.Fleet.Start(g.Number) })
+				w.At(w.Now+300+700*st.names.Chance(), func() {
+					st.Fleet.Start(g.Number)
+					st.Mark("edge-start", g.Name, "", nil)
+				})
 			}
 		}, nothing)
 	case "mute":
