--- /dev/null
+++ b/signal/signal_test.go
@@ -0,0 +1,165 @@
+package signal
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/emiago/sipgo/sip"
+	"pgregory.net/rapid"
+
+	"cobaltpier/clock"
+)
+
+var ua, ub = netip.MustParseAddrPort("127.0.0.1:5060"), netip.MustParseAddrPort("127.0.0.2:5060")
+
+// side is one end of a lossy wire, with all that it hears counted.
+type side struct {
+	l                                  *Layer
+	timers                             clock.Queue
+	asked, called, acked, strays, lost int
+	answer                             func(s *Server, req *sip.Request)
+}
+
+func (s *side) Asked(sv *Server, req *sip.Request) {
+	s.asked++
+	if s.answer != nil {
+		s.answer(sv, req)
+	}
+}
+func (s *side) CalledOff(sv *Server, req *sip.Request) {
+	s.called++
+	sv.Respond(Response(sv.Request(), 487, "Request Terminated", "t"))
+}
+func (s *side) Acked(req *sip.Request)              { s.acked++ }
+func (s *side) Stray(*sip.Response, netip.AddrPort) { s.strays++ }
+
+type flight struct {
+	at   float64
+	to   *side
+	from netip.AddrPort
+	data []byte
+}
+
+// TestLossyWire sends requests over a wire that loses, doubles and delays, and holds the transactions to what they are
+// for: the other side is asked once, the asker hears one kind of final answer, a refusal is acknowledged, and all is
+// forgotten in the end.
+func TestLossyWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := 0.0
+		a, b := &side{}, &side{}
+		var wire []flight
+		loss := rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
+		n := &Names{Seed: uint64(rapid.IntRange(0, 1<<30).Draw(t, "seed"))}
+		send := func(from netip.AddrPort, to *side) func(netip.AddrPort, []byte) {
+			return func(_ netip.AddrPort, data []byte) {
+				for range 1 + int(n.Chance()*1.2) {
+					if n.Chance() >= loss {
+						wire = append(wire, flight{now + 1 + 30*n.Chance(), to, from, data})
+					}
+				}
+			}
+		}
+		a.l = NewLayer(ua, Times{100, 800, 500}, &Names{Seed: 1}, &a.timers, a, send(ua, b))
+		b.l = NewLayer(ub, Times{100, 800, 500}, &Names{Seed: 2}, &b.timers, b, send(ub, a))
+		method := rapid.SampledFrom([]sip.RequestMethod{sip.INVITE, sip.BYE}).Draw(t, "method")
+		code := rapid.SampledFrom([]int{200, 486, 503}).Draw(t, "code")
+		ring, cancel := rapid.Bool().Draw(t, "ring"), rapid.Bool().Draw(t, "cancel")
+		var server *Server
+		b.answer = func(s *Server, req *sip.Request) {
+			server = s
+			if ring && method == sip.INVITE {
+				s.Respond(Response(req, 180, "Ringing", "t"))
+			}
+			b.timers.Set(now+150, func() { s.Respond(Response(req, code, "X", "t")) })
+		}
+		var finals []int
+		nothing := false
+		req := sip.NewRequest(method, sip.Uri{Scheme: "sip", Host: "127.0.0.2"})
+		id := sip.CallIDHeader("c")
+		req.AppendHeader(&sip.FromHeader{Address: req.Recipient, Params: sip.HeaderParams{{K: "tag", V: "f"}}})
+		req.AppendHeader(&sip.ToHeader{Address: req.Recipient})
+		req.AppendHeader(&id)
+		req.AppendHeader(&sip.CSeqHeader{SeqNo: 1, MethodName: method})
+		var c *Client
+		c = a.l.Ask(req, ub, oc(), func(res *sip.Response) {
+			switch {
+			case res == nil:
+				nothing = true
+			case res.StatusCode >= 200:
+				finals = append(finals, res.StatusCode)
+				if res.StatusCode < 300 && method == sip.INVITE {
+					server.Acked() // as the ACK, which no transaction carries, would
+				}
+			case cancel:
+				c.Cancel()
+			}
+		})
+		for ; now < 45000; now++ {
+			var rest []flight
+			due := wire
+			wire = nil
+			for _, f := range due {
+				if f.at <= now {
+					f.to.l.Receive(now, f.from, f.data)
+				} else {
+					rest = append(rest, f)
+				}
+			}
+			wire = append(rest, wire...)
+			a.l.Now, b.l.Now = now, now
+			a.timers.Run(now)
+			b.timers.Run(now)
+		}
+		if b.asked > 1 || b.called > 1 {
+			t.Fatalf("asked %d times, called off %d times", b.asked, b.called)
+		}
+		for _, f := range finals {
+			if f != finals[0] {
+				t.Fatalf("final answers %v", finals)
+			}
+		}
+		if len(finals) == 0 && !nothing || len(finals) > 0 && nothing {
+			t.Fatalf("final answers %v, told of none %v", finals, nothing)
+		}
+		if (method != sip.INVITE || len(finals) > 0 && finals[0] >= 300) && len(finals) > 1 {
+			t.Fatalf("heard %v", finals)
+		}
+		if ac, as := a.l.Open(); ac+as != 0 {
+			t.Fatalf("the asker still holds %d transactions", ac+as)
+		}
+		if bc, bs := b.l.Open(); bc+bs != 0 {
+			t.Fatalf("the asked still holds %d transactions", bc+bs)
+		}
+	})
+}
+
+func oc() sip.HeaderParams { return sip.HeaderParams{{K: "oc"}, {K: "oc-algo", V: `"loss,rate"`}} }
+
+// A quoted value in a Via, with what parts parameters inside it, is read and written as it is.
+func TestQuotedVia(t *testing.T) {
+	text := "OPTIONS sip:a SIP/2.0\r\nVia: SIP/2.0/UDP 1.2.3.4:5060;oc;oc-algo=\"loss,rate;x\";branch=z9hG4bKq, SIP/2.0/UDP 5.6.7.8;branch=z9hG4bKr\r\n" +
+		"From: <sip:a@b>;tag=1\r\nTo: <sip:a@b>\r\nCall-ID: 1\r\nCSeq: 1 OPTIONS\r\n\r\n"
+	m, err := Parse([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	vias := m.(*sip.Request).GetHeaders("via")
+	if v, _ := m.Via().Params.Get("oc-algo"); v != `"loss,rate;x"` || len(vias) != 2 {
+		t.Errorf("oc-algo %q in %d Vias", v, len(vias))
+	}
+	if b, _ := m.Via().Params.Get("branch"); b != "z9hG4bKq" || !strings.Contains(m.String(), `oc-algo="loss,rate;x";branch=z9hG4bKq`) {
+		t.Errorf("branch %q of %s", b, m.String())
+	}
+}
+
+func TestWaits(t *testing.T) {
+	for in, want := range map[string]float64{"": 0, "5": 5000, "1;ms=300": 300, " 2 (later);duration=9": 2000, "3(soon)": 3000, "-1": 0, "x": 0, "9999999999999": 0} {
+		if got := Wait(in); got != want {
+			t.Errorf("%q: %v, want %v", in, got, want)
+		}
+	}
+	if s := Seconds(300); s != "1;ms=300" || Seconds(2000) != "2;ms=2000" {
+		t.Errorf("%q", s)
+	}
+}
