--- a/check/check.go
+++ b/check/check.go
@@ -47,8 +47,9 @@
 type Checker struct {
 	Findings []Finding
 	Totals   Totals
-	Keep     bool   // keep how cold budgets were used
-	Cold     []Cold // with Keep: after Finish
+	Parse    func([]byte) (sip.Message, error) // signal.Parse, or one that remembers
+	Keep     bool                              // keep how cold budgets were used
+	Cold     []Cold                            // with Keep: after Finish
 	rules    *api.Rules
 	nodes    map[string]*api.Node
 	contacts map[string]*contact          // by edge and session
@@ -107,7 +108,7 @@
 
 // New makes a checker.
 func New() *Checker {
-	return &Checker{rules: &api.Rules{}, nodes: map[string]*api.Node{}, contacts: map[string]*contact{},
+	return &Checker{Parse: signal.Parse, rules: &api.Rules{}, nodes: map[string]*api.Node{}, contacts: map[string]*contact{},
 		byTx: map[string]*ring{}, byDialog: map[string]*ring{}, answers: map[string]*contact{},
 		listed: map[string]map[string]*place{}, stopped: map[string]bool{}, killed: map[string]float64{},
 		starts: map[string][]*start{}}
@@ -214,7 +215,7 @@
 }
 
 func (k *Checker) datagram(at float64, d *api.Datagram) {
-	m, err := signal.Parse(d.Data)
+	m, err := k.Parse(d.Data)
 	if err != nil {
 		return // not SIP: other gateways' messages, garbage
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -51,7 +51,8 @@
 	Default string  // the skill of a call that names none
 	Margin  float64 // ms: final answers leave so long before the caller's patience ends
 	Gate    intake.Gate
-	Off     [6]bool // guards that are switched off, by rule: only to show that the checker sees what they prevent
+	Parse   func([]byte) (sip.Message, error) // nil: signal.Parse
+	Off     [6]bool                           // guards that are switched off, by rule: only to show that the checker sees what they prevent
 }
 
 // Member is one line of the pool list.
@@ -137,6 +138,9 @@
 	}
 	e.refusals.Keep = 64 * cfg.Times.T1
 	e.sip = signal.NewLayer(cfg.Self, cfg.Times, &e.names, &e.timers, e, out.Send)
+	if cfg.Parse != nil {
+		e.sip.Parse = cfg.Parse
+	}
 	e.mod = mk(cfg.Set, moduleHost{e})
 	return e
 }
--- a/lab/caller/caller.go
+++ b/lab/caller/caller.go
@@ -45,13 +45,14 @@
 
 // Manners are how callers behave.
 type Manners struct {
-	Redials int     // at most
-	Pause   float64 // before a redial, ms
-	Grows   bool    // each pause twice as long
-	Honour  float64 // share that heeds Retry-After
-	MaxWait float64 // but no longer than this
-	Context string  // trunk-context
-	Silence float64 // a caller hears for so long that the line is dead, then hangs up
+	Redials int                               // at most
+	Pause   float64                           // before a redial, ms
+	Grows   bool                              // each pause twice as long
+	Honour  float64                           // share that heeds Retry-After
+	MaxWait float64                           // but no longer than this
+	Context string                            // trunk-context
+	Parse   func([]byte) (sip.Message, error) // nil: signal.Parse
+	Silence float64                           // a caller hears for so long that the line is dead, then hangs up
 }
 
 // Callers are those of one gateway.
@@ -87,6 +88,9 @@
 	c := &Callers{Manners: m, edge: edge, open: map[string]*try{}, bySess: map[string]*try{}}
 	c.names.Seed = seed
 	c.sip = signal.NewLayer(self, times, &c.names, &c.timers, c, send)
+	if m.Parse != nil {
+		c.sip.Parse = m.Parse
+	}
 	return c
 }
 
--- a/lab/core/core.go
+++ b/lab/core/core.go
@@ -18,29 +18,29 @@
 
 // Model is how a switch behaves; works and times are milliseconds, works at full speed.
 type Model struct {
-	Name       string
-	Setup      float64 // work of a set-up
-	Answer     float64 // work of its answer
-	Release    float64
-	Repeat     float64 // work of a repeat of a set-up that waits
-	Reject     float64 // work of turning one away
-	Probe      float64
-	Lines      int
-	WaitLimit  float64 // a longer wait turns set-ups away
-	NamesWait  bool    // it says for how long
-	WorksOn    bool    // a set-up that was called off is still worked on
-	ErrorRate  float64
-	ColdShare  float64  // of its full speed at the start
-	Warm       float64  // till full speed
-	TipTimes   float64  // rule 4: more than this many times what it can do
-	TipWindow  float64  // within this: it falls over
-	Reports    []string // util, queue, wait, rate, loss
-	Refresh    float64
-	Delay      float64 // reports are so old
-	Noise      float64
-	Supposed   float64 // set-ups a second at full speed, for rate reports; 0: from the works
-	Times      signal.Times
-	FirstSlice float64 // the earliest that a processor may pause; unused by most
+	Name      string
+	Setup     float64 // work of a set-up
+	Answer    float64 // work of its answer
+	Release   float64
+	Repeat    float64 // work of a repeat of a set-up that waits
+	Reject    float64 // work of turning one away
+	Probe     float64
+	Lines     int
+	WaitLimit float64 // a longer wait turns set-ups away
+	NamesWait bool    // it says for how long
+	WorksOn   bool    // a set-up that was called off is still worked on
+	ErrorRate float64
+	ColdShare float64  // of its full speed at the start
+	Warm      float64  // till full speed
+	TipTimes  float64  // rule 4: more than this many times what it can do
+	TipWindow float64  // within this: it falls over
+	Reports   []string // util, queue, wait, rate, loss
+	Refresh   float64
+	Delay     float64 // reports are so old
+	Noise     float64
+	Times     signal.Times
+	// Parse reads datagrams; nil: signal.Parse.
+	Parse func([]byte) (sip.Message, error) `json:"-"`
 }
 
 // Switch is one switch process with its processor. After Kill or Stop another one takes its address.
@@ -115,6 +115,9 @@
 			send(to, data)
 		}
 	})
+	if m.Parse != nil {
+		s.sip.Parse = m.Parse
+	}
 	s.sip.Now = now
 	s.sip.OnRepeat = s.repeated
 	s.timers.Set(now+s.names.Chance()*m.Refresh, s.refresh)
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -92,6 +92,7 @@
 			o.Record(r)
 		}
 	})
+	k.Parse = st.Parse
 	stage.NewVirtual(st, mk)
 	st.World.Run(s.Length + After)
 	k.Finish()
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 
+	"cobaltpier/api"
 	"cobaltpier/conf"
 	"cobaltpier/lab/core"
 	"cobaltpier/signal"
@@ -29,6 +30,7 @@
 	Callers  Callers
 	List     List
 	Troubles []Trouble
+	Calls    []*api.Call `json:"-"` // of a trace, in place of Load
 }
 
 // Gateways are the edges.
@@ -68,11 +70,10 @@
 
 // Load is what comes.
 type Load struct {
-	Rate     float64 // contacts a second at all gateways
-	Drift    float64 // destinations change after so long
-	Skew     float64 // 0: all destinations alike
-	Numbers  int     // numbers that are called
-	OverPart float64
+	Rate    float64 // contacts a second at all gateways
+	Drift   float64 // destinations change after so long
+	Skew    float64 // 0: all destinations alike
+	Numbers int     // numbers that are called
 }
 
 // Callers are how they behave.
@@ -174,7 +175,7 @@
 	}
 	l := b.One("load")
 	s.Load = Load{Rate: l.Num("rate", 300, 0, 1e6), Drift: l.Ms("drift", 15000, 100, day), Skew: l.Num("skew", 0.3, 0, 1),
-		Numbers: l.Int("numbers", 20000, 1, 1<<30), OverPart: 0}
+		Numbers: l.Int("numbers", 20000, 1, 1<<30)}
 	c := b.One("callers")
 	s.Callers = Callers{Redials: c.Int("redials", 2, 0, 100), Pause: c.Ms("pause", 900, 0, day), Grows: c.Flag("grows", true),
 		Honour: c.Num("honour", 0.6, 0, 1), MaxWait: c.Ms("max_wait", 2000, 0, day), Silence: c.Ms("silence", 1000, 0, day)}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -9,11 +9,13 @@
 	"math"
 	"net/netip"
 	"sort"
+	"unsafe"
+
+	"github.com/emiago/sipgo/sip"
 
 	"cobaltpier/api"
 	"cobaltpier/contact"
 	"cobaltpier/edge"
-	"cobaltpier/host"
 	"cobaltpier/intake"
 	"cobaltpier/lab/caller"
 	"cobaltpier/lab/core"
@@ -69,9 +71,10 @@
 	World    *world.World
 	Gateways []*Gateway
 	Fleet    Fleet
-	Record   func(*api.Record)             // what the capture gets; may be nil
-	Say      func(at float64, what string) // troubles as they begin and end; may be nil
-	Off      int                           // a guard of the edges that is switched off, to show that the checker sees it
+	Record   func(*api.Record)                 // what the capture gets; may be nil
+	Say      func(at float64, what string)     // troubles as they begin and end; may be nil
+	Parse    func([]byte) (sip.Message, error) // what all machines of the stage read with
+	Off      int                               // a guard of the edges that is switched off, to show that the checker sees it
 	names    signal.Names
 	places   []*place
 	machines []*api.Member // of the list as its keeper knows it, with start times in AgeMs
@@ -86,7 +89,7 @@
 // New builds the stage of a script; base numbers the addresses' last but one byte so that stages don't meet. The
 // gateways are added by whoever runs them.
 func New(s *script.Script, port int, record func(*api.Record)) *Stage {
-	st := &Stage{Script: s, World: world.New(s.Seed), Record: record}
+	st := &Stage{Script: s, World: world.New(s.Seed), Record: record, Parse: remember()}
 	st.names.Seed = s.Seed*2654435761 + 17
 	w := st.World
 	w.Link = st.link
@@ -104,7 +107,7 @@
 		from := addr(2, i, port)
 		c := s.Callers
 		g.Callers = caller.New(caller.Manners{Redials: c.Redials, Pause: c.Pause, Grows: c.Grows, Honour: c.Honour, MaxWait: c.MaxWait,
-			Context: Context, Silence: c.Silence}, from, g.Addr, s.Pools.Model.Times, s.Seed+uint64(i)*7919+1,
+			Context: Context, Silence: c.Silence, Parse: st.Parse}, from, g.Addr, s.Pools.Model.Times, s.Seed+uint64(i)*7919+1,
 			func(to netip.AddrPort, data []byte) { w.Send(from, to, data) })
 		g.callers = w.Add(&world.Node{Addr: from, Name: fmt.Sprintf("callers-%d", i), Region: region, Machine: g.Callers})
 		st.Gateways = append(st.Gateways, g)
@@ -113,6 +116,7 @@
 	}
 	for i := 0; i < s.Pools.Count; i++ {
 		m := s.Pools.Model
+		m.Parse = st.Parse
 		size := 1 + s.Pools.Spread*(2*st.names.Chance()-1)
 		region := s.Regions[i%len(s.Regions)]
 		if i < len(s.Pools.Sizes) {
@@ -334,6 +338,10 @@
 // plan draws all arrivals ahead.
 func (st *Stage) plan() {
 	s, n := st.Script, &st.names
+	if len(s.Calls) > 0 {
+		st.replay()
+		return
+	}
 	if s.Load.Rate <= 0 {
 		return
 	}
@@ -406,6 +414,33 @@
 	}
 }
 
+// replay plans the calls of a trace in place of drawn ones.
+func (st *Stage) replay() {
+	skills := map[string]script.Skill{}
+	for _, k := range st.Script.Skills {
+		skills[k.Name] = k
+	}
+	for _, c := range st.Script.Calls {
+		k, ok := skills[c.Skill]
+		if !ok {
+			k = st.Script.Skills[0]
+		}
+		patience, hold := c.PatienceMs, c.HoldMs
+		if patience == 0 {
+			patience = k.Patience
+		}
+		if hold == 0 {
+			hold = k.Hold
+		}
+		g := st.Gateways[int(c.Gateway)%len(st.Gateways)]
+		g.Callers.Plan(&caller.Arrival{At: c.AtMs, Number: c.Number, Skill: k.Name, Customer: c.Customer, Group: c.Group, Hold: hold, Target: k.Target,
+			Patience: patience, Try: math.Min(k.Try, patience), Value: k.Value, Late: k.Late})
+	}
+	for _, g := range st.Gateways {
+		g.callers.Due()
+	}
+}
+
 // flood sends one gateway many contacts of the least value.
 func (st *Stage) flood(t script.Trouble) {
 	s, n := st.Script, &st.names
@@ -447,7 +482,7 @@
 func (st *Stage) Config(g *Gateway) *edge.Config {
 	s := st.Script
 	c := &edge.Config{Name: g.Name, Self: g.Addr, Context: Context, Set: st.Settings(g), Times: s.Pools.Model.Times,
-		Default: s.Skills[0].Name, Margin: s.Gateways.Margin, Gate: intake.Gate{Most: s.Gateways.Held, Rate: s.Gateways.MostRate}}
+		Parse: st.Parse, Default: s.Skills[0].Name, Margin: s.Gateways.Margin, Gate: intake.Gate{Most: s.Gateways.Held, Rate: s.Gateways.MostRate}}
 	if st.Off > 0 {
 		c.Off[st.Off] = true
 	}
@@ -466,5 +501,24 @@
 	st.World.At(st.World.Now+n.Peer*(1+n.Jitter*(2*st.names.Chance()-1)), func() { deliver(st.World.Now) })
 }
 
-// Module makes a gateway's decision module.
-type Module = host.Maker
+// remember parses a datagram once for all who look at it: the tap, then its receiver. Messages are only read.
+func remember() func([]byte) (sip.Message, error) {
+	type parsed struct {
+		first *byte
+		n     int
+		m     sip.Message
+		err   error
+	}
+	var slots [1 << 12]parsed
+	return func(data []byte) (sip.Message, error) {
+		if len(data) == 0 {
+			return signal.Parse(data)
+		}
+		p := &slots[(uintptr(unsafe.Pointer(&data[0]))>>4)%uintptr(len(slots))]
+		if p.first != &data[0] || p.n != len(data) {
+			p.m, p.err = signal.Parse(data)
+			p.first, p.n = &data[0], len(data) // held, so that nothing else comes to lie there
+		}
+		return p.m, p.err
+	}
+}
--- a/labcmd/fleet.go
+++ b/labcmd/fleet.go
@@ -53,7 +53,7 @@
 func fleetCmd() *cobra.Command {
 	var seeds int
 	var first uint64
-	var module, page, pictures string
+	var module, page, pictures, calls string
 	var asJSON bool
 	var set []string
 	c := &cobra.Command{Use: "fleet DAY", Short: "Play days in virtual time, any number of gateways, several days at once", Args: cobra.ExactArgs(1),
@@ -74,6 +74,9 @@
 			if first > 0 {
 				s.Seed = first
 			}
+			if err := replay(s, calls); err != nil {
+				return err
+			}
 			out := cmd.OutOrStdout()
 			res := make([]*fleet.Result, seeds)
 			begin := time.Now()
@@ -128,6 +131,7 @@
 	c.Flags().StringVar(&module, "module", "brain", "what decides: brain, or the baselines lottery and random")
 	c.Flags().StringVar(&page, "report", "", "write an HTML page with plots to this file")
 	c.Flags().StringVar(&pictures, "pictures", "", "write the plots as PNG files into this folder")
+	c.Flags().StringVar(&calls, "trace", "", "replay the calls of this trace in place of the script's load; nobody dials again")
 	c.Flags().BoolVar(&asJSON, "json", false, "a line of JSON for each day")
 	c.Flags().StringArrayVar(&set, "set", nil, "change a value of the script, such as pools.count=6")
 	return c
--- a/labcmd/labcmd.go
+++ b/labcmd/labcmd.go
@@ -60,6 +60,7 @@
 	port    int
 	level   string
 	set     []string
+	trace   string
 }
 
 func (f *dayFlags) add(c *cobra.Command) {
@@ -70,6 +71,7 @@
 	c.Flags().StringVar(&f.capture, "capture", "", "keep the traffic in this file (see cobalt-lab show)")
 	c.Flags().StringVar(&f.dir, "dir", "", "keep the gateways' settings and logs there")
 	c.Flags().IntVar(&f.port, "port", 15060, "SIP port of the addresses in 127.0.0.0/8; port+10 and port+20 are used too")
+	c.Flags().StringVar(&f.trace, "trace", "", "replay the calls of this trace in place of the script's load; nobody dials again")
 	c.Flags().StringArrayVar(&f.set, "set", nil, "change a value of the script, such as pools.count=6 or 'net.loss=0.01'")
 	c.Flags().StringVar(&f.level, "log", "info", "log level of the gateways")
 }
@@ -119,6 +121,9 @@
 	if f.seed > 0 {
 		s.Seed = f.seed
 	}
+	if err := replay(s, f.trace); err != nil {
+		return err
+	}
 	first, broken := s.Seed, false
 	if f.seeds > 1 || strings.Contains(f.module, ",") {
 		fmt.Fprintf(out, "%-8s %5s  %s\n", "module", "seed", serviceHead)
--- a/labcmd/trace.go
+++ b/labcmd/trace.go
@@ -101,6 +101,7 @@
 		k.Flags().StringVar(&key, "key", "", "secret")
 		k.Flags().IntVar(&keep, "keep", 5, "characters at the start that stay, which routing goes by")
 	})
+	c.AddCommand(captureTrace())
 	return c
 }
 
--- a/signal/layer.go
+++ b/signal/layer.go
@@ -41,6 +41,8 @@
 	Times  Times
 	Now    float64 // the time as last handed in
 	Bad    int     // datagrams that were no messages
+	// Parse reads datagrams; a laboratory may set one that remembers, for messages are only read.
+	Parse func([]byte) (sip.Message, error)
 	// OnRepeat, if set, hears of repeats of a request; they are answered here.
 	OnRepeat func(*Server)
 
@@ -106,7 +108,7 @@
 // NewLayer makes a layer that answers as self and sends through out.
 func NewLayer(self netip.AddrPort, t Times, names *Names, timers *clock.Queue, user User,
 	out func(netip.AddrPort, []byte)) *Layer {
-	return &Layer{Self: self, Names: names, Timers: timers, Times: t, user: user, out: out,
+	return &Layer{Parse: Parse, Self: self, Names: names, Timers: timers, Times: t, user: user, out: out,
 		clients: map[string]*Client{}, servers: map[string]*Server{}, merged: map[string]*Server{}}
 }
 
@@ -116,7 +118,7 @@
 // Receive takes a datagram. What is no message is counted in Bad and otherwise passed over.
 func (l *Layer) Receive(now float64, from netip.AddrPort, data []byte) {
 	l.Now = now
-	m, err := Parse(data)
+	m, err := l.Parse(data)
 	if err != nil {
 		l.Bad++
 		return
--- a/signal/message.go
+++ b/signal/message.go
@@ -101,7 +101,9 @@
 		h, err := plain(name, hide(text))
 		if v, ok := h.(*sip.ViaHeader); ok && v != nil {
 			for i := range v.Params {
-				v.Params[i].V = unhide.Replace(v.Params[i].V)
+				if strings.IndexByte(v.Params[i].V, 0x1d) >= 0 {
+					v.Params[i].V = unhide.Replace(v.Params[i].V)
+				}
 			}
 		}
 		return h, err
