What is overdue after standing still is decided before anything is repeated

A repeat that is overdue by half of T1 now waits a millisecond, so that a patience that is over ends it (the test fails without, seen). The checker takes records of different sockets as up to 10 ms out of order for 'nothing after the answer', in wall-clock captures only. Chance is drawn in one package now.

--- /dev/null
+++ b/chance/chance_test.go
@@ -0,0 +1,23 @@
+package chance
+
+import "testing"
+
+// Draws are even over their range, and the same for the same numbers.
+func TestEven(t *testing.T) {
+	var bins [10]int
+	for i := range uint64(20000) {
+		v := Of(7, i)
+		if v != Of(7, i) || v < 0 || v >= 1 {
+			t.Fatalf("draw %d: %v", i, v)
+		}
+		bins[int(v*10)]++
+	}
+	for i, n := range bins {
+		if n < 1850 || n > 2150 {
+			t.Errorf("%d of 20000 draws from %d tenths", n, i)
+		}
+	}
+	if Of(1, 2) == Of(2, 1) {
+		t.Error("the order does not matter")
+	}
+}
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -394,6 +394,21 @@
 	}
 }
 
+// An edge stands still past a repeat and the patience: the answer goes, and no repeat with it.
+func TestStoodStillPastPatience(t *testing.T) {
+	r := newRig(t)
+	r.m.ended = func(_ float64, x *contact.Ring) { r.m.h.Abandon(x.Contact) }
+	r.get(caller, callerSays("INVITE", "1d", ""))
+	r.pass(6000)
+	n := r.count(switchA, "INVITE")
+	r.now += 7000
+	r.pass(50)
+	r.sent(caller, "SIP/2.0 500")
+	if m := r.count(switchA, "INVITE"); m != n {
+		t.Errorf("%d set-ups repeated with the answer", m-n)
+	}
+}
+
 // An edge that stood still finds an INVITE that may have come at any time since: it is answered within the patience from
 // the earliest. One that was merely idle takes it as new.
 func TestStoodStill(t *testing.T) {
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -77,6 +77,9 @@
 	killed bool
 }
 
+// blur is how far records of different sockets may be out of order, ms: they are read by pollers that take turns.
+const blur = 10
+
 // Run puts a day on; it ends early when ctx does.
 func Run(ctx context.Context, s *script.Script, o Options) (res *Result, err error) {
 	r := &runner{o: o, follow: map[string]chan *api.Update{}, joined: make(chan string, 4096), relays: map[netip.AddrPort]int{}}
@@ -112,7 +115,7 @@
 			checked <- nil
 		}
 	}()
-	r.st = stage.New(s, o.Port, func(rec *api.Record) { records <- rec })
+	r.st = stage.NewReal(s, o.Port, blur, func(rec *api.Record) { records <- rec })
 	r.st.Fleet = r
 	r.st.Say = func(at float64, what string) {
 		if o.Say != nil {
--- a/signal/client.go
+++ b/signal/client.go
@@ -16,6 +16,7 @@
 	to     netip.AddrPort
 	data   []byte
 	gap    float64
+	due    float64 // when the next repeat is
 	timer  *clock.Timer
 	end    *clock.Timer
 	heard  func(*sip.Response) // nil: nothing came in time
@@ -92,7 +93,8 @@
 		heard: func(*sip.Response) {}}
 	l.clients[k.key] = k
 	l.out(k.to, k.data)
-	k.timer = l.Timers.Set(l.Now+k.gap, k.again)
+	k.due = l.Now + k.gap
+	k.timer = l.Timers.Set(k.due, k.again)
 	k.end = l.Timers.Set(l.Now+64*l.Times.T1, k.forget)
 	l.Timers.Stop(c.end) // RFC 3261 9.1: 64 T1 after the CANCEL nothing more will come
 	c.end = l.Timers.Set(l.Now+64*l.Times.T1, func() {
@@ -109,12 +111,18 @@
 	if c.quiet || c.final != 0 || c.first && c.req.Method == sip.INVITE {
 		return
 	}
+	if l.Now-c.due > l.Times.T1/2 { // this process stood still: what else is overdue comes first, and may end this
+		c.due = l.Now + 1
+		c.timer = l.Timers.Set(c.due, c.again)
+		return
+	}
 	l.out(c.to, c.data)
 	c.gap *= 2
 	if c.req.Method != sip.INVITE {
 		c.gap = min(c.gap, l.Times.T2)
 	}
-	c.timer = l.Timers.Set(l.Now+c.gap, c.again)
+	c.due = l.Now + c.gap
+	c.timer = l.Timers.Set(c.due, c.again)
 }
 
 func (c *Client) answered(res *sip.Response) {
--- a/signal/message.go
+++ b/signal/message.go
@@ -4,15 +4,15 @@
 package signal
 
 import (
-	"encoding/binary"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"net/netip"
 	"strconv"
 	"strings"
 
 	"github.com/emiago/sipgo/sip"
+
+	"cobaltpier/chance"
 )
 
 // Header fields that the project reads by name.
@@ -32,26 +32,14 @@
 
 // Next is a name that this process has not used before.
 func (s *Names) Next() string {
-	var x [16]byte
 	s.n++
-	binary.LittleEndian.PutUint64(x[:8], s.Seed)
-	binary.LittleEndian.PutUint64(x[8:], s.n)
-	h := fnv.New64a()
-	h.Write(x[:])
-	return strconv.FormatUint(h.Sum64(), 36)
+	return strconv.FormatUint(chance.Hash(s.Seed, s.n), 36)
 }
 
 // Chance is a number from 0 to 1 by the same draw.
 func (s *Names) Chance() float64 {
-	var x [16]byte
 	s.n++
-	binary.LittleEndian.PutUint64(x[:8], s.Seed)
-	binary.LittleEndian.PutUint64(x[8:], s.n)
-	h := fnv.New64a()
-	h.Write(x[:])
-	v := h.Sum64()
-	v = (v ^ v>>33) * 0xff51afd7ed558ccd // fnv leaves a counter's last byte in the low bits: spread it
-	return float64((v^v>>33)>>11) / (1 << 53)
+	return chance.Of(s.Seed, s.n)
 }
 
 // Parse reads a datagram. A message that lacks what every message must have (RFC 3261 8.1.1) is an error, and so is
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -22,6 +22,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cobaltpier/api"
+	"cobaltpier/chance"
 )
 
 const (
@@ -322,13 +323,13 @@
 	var out []*api.Call
 	for i, c := range of {
 		n := int(factor)
-		if chance(seed, uint64(i), 0) < factor-math.Floor(factor) {
+		if chance.Of(seed, uint64(i), 0) < factor-math.Floor(factor) {
 			n++
 		}
 		for k := range n {
 			d := proto.CloneOf(c)
 			if k > 0 {
-				d.AtMs += jitter * chance(seed, uint64(i), uint64(k))
+				d.AtMs += jitter * chance.Of(seed, uint64(i), uint64(k))
 			}
 			out = append(out, d)
 		}
@@ -336,18 +337,6 @@
 	return sorted(out)
 }
 
-func chance(seed, i, k uint64) float64 {
-	var x [24]byte
-	binary.LittleEndian.PutUint64(x[:], seed)
-	binary.LittleEndian.PutUint64(x[8:], i)
-	binary.LittleEndian.PutUint64(x[16:], k)
-	h := fnv.New64a()
-	h.Write(x[:])
-	v := h.Sum64()
-	v = (v ^ v>>33) * 0xff51afd7ed558ccd
-	return float64((v^v>>33)>>11) / (1 << 53)
-}
-
 // Anonymise puts other digits in the place of the numbers called, the same for the same number and key, and keeps their
 // first digits, which routing goes by. Who has no key can't tell the numbers; one number can be followed through the
 // trace, since redials are known by it.
