The test of repeats after standing still provokes them now

With the repeat due at 2.8 s and the patience at 9 s it fails without the change (seen: one set-up repeated with the answer) and passes with it.

--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -399,9 +399,9 @@
 	r := newRig(t)
 	r.m.ended = func(_ float64, x *contact.Ring) { r.m.h.Abandon(x.Contact) }
 	r.get(caller, callerSays("INVITE", "1d", ""))
-	r.pass(6000)
+	r.pass(2000) // the next repeat is due at 2800, the patience ends at 9000
 	n := r.count(switchA, "INVITE")
-	r.now += 7000
+	r.now += 8000
 	r.pass(50)
 	r.sent(caller, "SIP/2.0 500")
 	if m := r.count(switchA, "INVITE"); m != n {
