--- a/edge/caller.go
+++ b/edge/caller.go
@@ -243,6 +243,7 @@
 		return
 	}
 	e, l := k.edge, k.trunk
+	k.server.Acked() // a BYE may overtake the ACK: the 200 is not repeated any more
 	e.standing--
 	k.trunk = nil
 	if _, open := e.ends[k.tag]; open {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -216,6 +216,20 @@
 	}
 }
 
+// A BYE overtakes the ACK: the 200 is not repeated after it.
+func TestByeOvertakesAck(t *testing.T) {
+	r := newRig(t)
+	r.get(caller, callerSays("INVITE", "1e", ""))
+	r.answer(switchA, r.sent(switchA, "INVITE"), 200, "s", "")
+	tag := ";tag=" + signal.Tag(r.sent(caller, "SIP/2.0 200").To().Params)
+	r.get(caller, callerSays("BYE", "1e", tag))
+	r.get(caller, callerSays("ACK", "1e", tag))
+	r.pass(5000)
+	if n := r.count(caller, "SIP/2.0 200"); n != 2 { // of the INVITE and of the BYE
+		t.Errorf("%d answers 200, want 2", n)
+	}
+}
+
 // CANCEL and 200 cross: the call that stood is acknowledged and released, and nothing rings before the clear wait.
 func TestCancelCrosses200(t *testing.T) {
 	r := newRig(t)
--- a/lab/core/core.go
+++ b/lab/core/core.go
@@ -253,6 +253,7 @@
 		}
 		sv.Respond(s.loaded(signal.Response(req, 200, "OK", "")))
 		c.gone = true
+		c.server.Acked() // a BYE may overtake the ACK
 		delete(s.calls, c.tag)
 		s.add(&s.rest, &job{work: s.Release, do: c.free})
 	case sip.OPTIONS:
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -88,7 +88,9 @@
 
 // New builds the stage of a script; base numbers the addresses' last but one byte so that stages don't meet. The
 // gateways are added by whoever runs them.
-func New(s *script.Script, port int, record func(*api.Record)) *Stage { return build(s, port, 0, record) }
+func New(s *script.Script, port int, record func(*api.Record)) *Stage {
+	return build(s, port, 0, record)
+}
 
 // NewReal builds a stage whose gateways are behind sockets; records of different sockets may stand out of order by blur ms.
 func NewReal(s *script.Script, port int, blur float64, record func(*api.Record)) *Stage {
--- a/lab/stage/trouble.go
+++ b/lab/stage/trouble.go
@@ -88,10 +88,14 @@
 	case "restart":
 		during(func() {
 			for _, g := range st.gates(t) {
-				g := g
+				if g.deaf { // killed already by another trouble
+					continue
+				}
+				g.deaf = true
 				st.Mark("edge-kill", g.Name, "", nil)
 				st.Fleet.Kill(g.Number)
 				w.At(w.Now+300+700*st.names.Chance(), func() {
+					g.deaf = false
 					st.Fleet.Start(g.Number)
 					st.Mark("edge-start", g.Name, "", nil)
 				})
--- a/lab/stage/virtual.go
+++ b/lab/stage/virtual.go
@@ -104,7 +104,6 @@
 func (v *Virtual) Kill(i int) {
 	g := v.Stage.Gateways[i]
 	g.Node.Die()
-	g.deaf = true
 }
 
 // Start implements Fleet.
@@ -112,6 +111,5 @@
 	g, b := v.Stage.Gateways[i], v.Edges[i]
 	b.fresh()
 	g.Node.Live(b)
-	g.deaf = false
 	v.Stage.Welcome(g, 0)
 }
