--- a/check/check.go
+++ b/check/check.go
@@ -33,7 +33,7 @@
 // Totals are what the capture held.
 type Totals struct {
 	Contacts, Answers, Rings, Repeats, Datagrams int
-	ColdUse                                      float64 // the largest part of a cold budget that was used in a window
+	ColdUse                                      float64 // the largest part of a cold budget used by gateways that knew
 }
 
 // Cold is how much of a cold switch's budget the work of the window that ended at a time used.
@@ -447,9 +447,13 @@
 			continue
 		}
 		most := k.rules.TipMultiple * part * k.rules.TipMs
-		k.Totals.ColdUse = math.Max(k.Totals.ColdUse, sum/most)
+		use := sum / most
+		if told <= sum*2/3 { // mostly from gateways that could not know
+			use = told / most
+		}
+		k.Totals.ColdUse = math.Max(k.Totals.ColdUse, use)
 		if k.Keep {
-			k.Cold = append(k.Cold, Cold{x.at, s.who, sum / most})
+			k.Cold = append(k.Cold, Cold{x.at, s.who, use})
 		}
 		if sum > most+math.Sqrt(most*s.model.SetupMs)+s.model.SetupMs && told > sum*2/3 {
 			k.last = x.at
