--- a/check/check.go
+++ b/check/check.go
@@ -301,7 +301,7 @@
 			return
 		}
 		repeat := g != nil
-		if c.final != "" && at > c.at+k.rules.BlurMs {
+		if c.final != "" && at-c.at >= k.rules.BlurMs {
 			k.broke(1, c, "set-up sent %.0f ms after the final answer %s", at-c.at, c.final)
 		}
 		k.drain(at, edge, to, c)
