--- a/conf/conf.go
+++ b/conf/conf.go
@@ -365,3 +365,6 @@
 	body.Attributes[last] = &hclsyntax.Attribute{Name: last, Expr: expr, SrcRange: expr.Range(), NameRange: expr.Range()}
 	return nil
 }
+
+// Where is the block's file and line.
+func (b *Block) Where() string { return fmt.Sprintf("%s:%d", b.at.Filename, b.at.Start.Line) }
