--- a/lab/report/report.go
+++ b/lab/report/report.go
@@ -88,7 +88,7 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", y
 	p.Legend.Top, p.Legend.Left = true, false
-	p.X.Min, p.X.Max = 0, float64(s.Seconds)
+	p.X.Min, p.X.Max = 0, float64(s.Seconds)*1.16 // room for the legend
 	p.Y.Min, p.Y.Max = 0, top
 	p.Add(plotter.NewGrid())
 	for i, t := range s.Troubles { // marked on the time axis
