Gateway tests wait for the list by calling; time zones come with the program

Two sleeps of half a second stood for 'the list has come': on a busy machine the first call would be refused and the test fail. It calls until one reaches the switch.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -104,18 +104,26 @@
 	err error
 }
 
-// read gets the next message that begins with a text.
-func read(t *testing.T, c *net.UDPConn, begins string) (string, netip.AddrPort) {
+// read gets the next message that begins with a text and holds another.
+func read(t *testing.T, c *net.UDPConn, begins, holds string) (string, netip.AddrPort) {
 	t.Helper()
-	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	msg, from, ok := within(c, 10*time.Second, begins, holds)
+	if !ok {
+		t.Fatalf("no %q with %q", begins, holds)
+	}
+	return msg, from
+}
+
+func within(c *net.UDPConn, wait time.Duration, begins, holds string) (string, netip.AddrPort, bool) {
+	c.SetReadDeadline(time.Now().Add(wait))
 	b := make([]byte, 1<<16)
 	for {
 		n, from, err := c.ReadFromUDPAddrPort(b)
 		if err != nil {
-			t.Fatalf("no %q: %v", begins, err)
+			return "", from, false
 		}
-		if strings.HasPrefix(string(b[:n]), begins) {
-			return string(b[:n]), from
+		if m := string(b[:n]); strings.HasPrefix(m, begins) && strings.Contains(m, holds) {
+			return m, from, true
 		}
 	}
 }
@@ -149,25 +157,32 @@
 		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
 		over <- end{out, err}
 	}()
-	time.Sleep(500 * time.Millisecond)
 	invite := func(id string) {
 		who.WriteToUDPAddrPort([]byte(strings.ReplaceAll("INVITE sip:+1418;tgrp=TG-0@127.72.0.1 SIP/2.0\nVia: SIP/2.0/UDP 127.72.0.8:19062;rport;branch=z9hG4bK"+id+
 			"\nFrom: <sip:a@b>;tag="+id+"\nTo: <sip:c@d>\nCall-ID: "+id+"\nCSeq: 1 INVITE\nContact: <sip:127.72.0.8:19062>\nExpires: 9\nContent-Length: 0\n\n", "\n", "\r\n")), set.Self)
 	}
-	invite("one")
-	msg, from := read(t, sw, "INVITE")
+	// until the list has come, calls are refused
+	rung := func(id string) (string, netip.AddrPort) {
+		for i := range 60 {
+			invite(fmt.Sprint(id, i))
+			if msg, from, ok := within(sw, 200*time.Millisecond, "INVITE", ""); ok {
+				return msg, from
+			}
+		}
+		t.Fatal("no call reaches the switch")
+		return "", netip.AddrPort{}
+	}
+	msg, from := rung("one")
 	stop <- struct{}{}
 	time.Sleep(50 * time.Millisecond)
 	invite("two")
-	if r, _ := read(t, who, "SIP/2.0 503"); line(r, "Call-ID") != "two" {
-		t.Errorf("refused %q, want the new one", line(r, "Call-ID"))
-	}
+	read(t, who, "SIP/2.0 503", "Call-ID: two")
 	sw.WriteToUDPAddrPort([]byte("SIP/2.0 200 OK\r\nVia: "+line(msg, "Via")+"\r\nFrom: "+line(msg, "From")+"\r\nTo: "+line(msg, "To")+";tag=s\r\nCall-ID: "+
 		line(msg, "Call-ID")+"\r\nCSeq: 1 INVITE\r\nContact: <sip:127.72.0.9:19062>\r\nContent-Length: 0\r\n\r\n"), from)
-	read(t, sw, "ACK")
-	read(t, who, "SIP/2.0 200")
-	read(t, who, "BYE") // its time to drain is over
-	read(t, sw, "BYE")
+	read(t, sw, "ACK", "")
+	read(t, who, "SIP/2.0 200", "")
+	read(t, who, "BYE", "") // its time to drain is over
+	read(t, sw, "BYE", "")
 	select {
 	case e := <-over:
 		if e.out != Drained || e.err != nil {
@@ -183,9 +198,7 @@
 		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
 		over <- end{out, err}
 	}()
-	time.Sleep(500 * time.Millisecond)
-	invite("three")
-	read(t, sw, "INVITE")
+	rung("three")
 	if _, err := Run(context.Background(), set, mind, zerolog.Nop(), nil); err == nil || !strings.Contains(err.Error(), "another program has the address") {
 		t.Errorf("address in use: %v", err)
 	}
@@ -207,7 +220,10 @@
 	}()
 	k.send <- &api.Update{Version: 7, Whole: true, Members: []*api.Member{{Id: "m", State: api.State_READY, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
 	k.send <- &api.Update{Version: 8, Members: []*api.Member{{Id: "m", State: api.State_DRAINING, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
-	time.Sleep(500 * time.Millisecond)
+	for len(k.send) > 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(500 * time.Millisecond) // the stream's own way
 	wait := func(n int) []uint64 {
 		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 			k.mu.Lock()
--- a/number/read.go
+++ b/number/read.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"time"
+	_ "time/tzdata" // zones also where the machine has none
 
 	"cobaltpier/conf"
 	"cobaltpier/digits"
