--- a/lab/stage/stage_test.go
+++ b/lab/stage/stage_test.go
@@ -126,10 +126,13 @@
 	}
 }
 
-// TestListSilent: the pool list says nothing while a pool drains and comes back; gateways go on with what they have.
+// TestListSilent: the pool list says nothing for a minute, while a pool drains and is replaced and gateways stand still;
+// they go on with what they have.
 func TestListSilent(t *testing.T) {
 	s := short(t)
-	s.Troubles = append(s.Troubles, script.Trouble{Kind: "listless", At: 1000, For: 10000}, script.Trouble{Kind: "stall", At: 5000, For: 3000, Part: 0.4, Size: 2})
+	s.Length = 70000
+	s.Load.Rate = 30
+	s.Troubles = append(s.Troubles, script.Trouble{Kind: "listless", At: 1000, For: 60000}, script.Trouble{Kind: "stall", At: 5000, For: 3000, Part: 0.4, Size: 2})
 	if k := judged(s, mind, 0); len(k.Findings) > 0 || k.Totals.Rings < 300 {
 		t.Errorf("%d rings, findings %v", k.Totals.Rings, k.Findings)
 	}
