--- a/check/check.go
+++ b/check/check.go
@@ -277,6 +277,10 @@
 	case c.final == "":
 		c.final, c.at = final, at
 		k.Totals.Answers++
+		// a contact of a process that was killed since is no longer its duty: its caller's repeat is new to the next one
+		if kill, killed := k.killed[edge]; killed && c.came <= kill {
+			return
+		}
 		if at > c.until+k.rules.SlackMs {
 			k.broke(1, c, "answered %s %.0f ms after its patience", final, at-c.until)
 		}
