--- a/lab/core/core.go
+++ b/lab/core/core.go
@@ -69,7 +69,6 @@
 	since      float64
 	arrivals   []arrival // rule 4's window
 	shown      []shown
-	clients    map[netip.Addr]float64
 	senders    map[netip.AddrPort]float64
 }
 
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -83,7 +83,6 @@
 	loss     float64
 	muted    bool
 	listless bool
-	base     int
 }
 
 // New builds the stage of a script; base numbers the addresses' last but one byte so that stages don't meet. The
