ENUM look-ups without I/O: rules, a resolver with health and cache, portability

Need: number analysis asks for portability, and nothing could look it up.

enum evaluates NAPTR rules (order, preference, bounded expressions, non-terminal rules) and the portability parameters of RFC 4694; resolve asks servers and decides which, how long, what is kept, shared and served stale; ported follows rules from domain to domain; lab/names is a stand-in for authoritative servers with their faults. Measured in virtual time: each of 15 troubles of one of two servers leaves no answer late or false of 2,000; both dead for 30 s cost fewer than 60 datagrams, and what was kept is served. The edge does not use it yet.

--- /dev/null
+++ b/ported/ported.go
@@ -0,0 +1,110 @@
+// Package ported finds out where a number was ported to: by ENUM (RFC 6116), with routing numbers in the form of RFC
+// 4694. It follows rules that lead on to other domains, within a bound and never round in a loop. It knows no wire.
+package ported
+
+import (
+	"errors"
+
+	"cobaltpier/enum"
+	"cobaltpier/number"
+	"cobaltpier/resolve"
+)
+
+//tally:decisions
+
+// mostSteps is how many domains one look-up goes through (RFC 6116 5.2.1 asks for five at least).
+const mostSteps = 5
+
+// Asker asks for the rules of a domain; a resolve.Client is one.
+type Asker interface {
+	Ask(now float64, name string, within float64, done func(now float64, a resolve.Answer)) (stop func())
+}
+
+// Finder looks numbers up.
+type Finder struct {
+	Asker    Asker
+	Apex     string
+	Services []string // enumservices whose rules count, such as "pstn:tel" (RFC 4769)
+	Counts   Counts
+}
+
+// Counts are what a finder has seen.
+type Counts struct {
+	Ported, Same, Silent, Bad, Stale uint64
+}
+
+// Ask looks a number up, digits only. done is called once within the time given, maybe at once; stop takes the question
+// back. Rules that make no sense count as silence: what is done then is settled by the number's table.
+func (f *Finder) Ask(now float64, digits string, within float64, done func(now float64, what number.Answer, routing string)) (stop func()) {
+	name, err := enum.Domain(digits, f.Apex)
+	if err != nil {
+		f.Counts.Bad++
+		done(now, number.Silent, "")
+		return func() {}
+	}
+	until, seen := now+within, map[string]bool{}
+	over, undo := false, func() {}
+	var step func(now float64, name string)
+	step = func(now float64, name string) {
+		if seen[name] || len(seen) == mostSteps {
+			f.Counts.Bad++
+			done(now, number.Silent, "")
+			return
+		}
+		seen[name] = true
+		take := func(now float64, a resolve.Answer) {
+			if over {
+				return
+			}
+			if a.Stale {
+				f.Counts.Stale++
+			}
+			next, what, routing := f.read("+"+digits, a)
+			if next != "" {
+				step(now, next)
+				return
+			}
+			done(now, what, routing)
+		}
+		undo = f.Asker.Ask(now, name, until-now, take)
+	}
+	step(now, name)
+	return func() {
+		over = true
+		undo()
+	}
+}
+
+// read says what an answer comes to: a domain that goes on, or an end.
+func (f *Finder) read(full string, a resolve.Answer) (next string, what number.Answer, routing string) {
+	switch a.Status {
+	case resolve.Failed:
+		f.Counts.Silent++
+		return "", number.Silent, ""
+	case resolve.None:
+		f.Counts.Same++
+		return "", number.NotPorted, ""
+	}
+	res, err := enum.Apply(full, a.Rules, f.Services...)
+	switch {
+	case errors.Is(err, enum.ErrNoRule): // rules for other things only
+		f.Counts.Same++
+		return "", number.NotPorted, ""
+	case err != nil:
+		f.Counts.Bad++
+		return "", number.Silent, ""
+	case res.Next != "":
+		return res.Next, 0, ""
+	}
+	_, p, err := enum.Tel(res.URI)
+	switch {
+	case err != nil:
+		f.Counts.Bad++
+		return "", number.Silent, ""
+	case p.Routing == "":
+		f.Counts.Same++
+		return "", number.NotPorted, ""
+	}
+	f.Counts.Ported++
+	return "", number.Ported, p.Routing
+}
--- /dev/null
+++ b/resolve/resolve.go
@@ -0,0 +1,529 @@
+// Package resolve asks DNS servers for NAPTR records (RFC 1035, RFC 6891) without I/O: datagrams, answers over streams and
+// the time come in through methods, questions go out through Out. Which server is asked, how long its answer is waited
+// for and what is kept are decisions of this package. What was asked for by several at once goes out once.
+//
+// An answer counts only if it comes from the server that was asked, to the port that asked, with the id, the question
+// and even the case of its letters that were sent, all drawn by chance; and of it only what answers the question.
+package resolve
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/miekg/dns"
+
+	"cobaltpier/chance"
+	"cobaltpier/clock"
+	"cobaltpier/enum"
+)
+
+//tally:decisions
+
+// Out is what a client asks of its driver.
+type Out interface {
+	// Query sends a datagram from one of the client's ports, by its number from 0.
+	Query(port int, to netip.AddrPort, data []byte)
+	// Stream sends a message over TCP and hands what comes back to Streamed, or nil if nothing does in time.
+	Stream(token uint64, to netip.AddrPort, data []byte, within float64)
+}
+
+// Config is what a client is told. Times are ms.
+type Config struct {
+	Servers    []netip.AddrPort
+	Ports      int     // source ports that the driver has
+	Seed       uint64  // of ids and ports: nobody else may know it
+	Most       int     // names asked for at once; beyond it a question fails at once
+	Tries      int     // datagrams for one name
+	StaleAfter float64 // what ran out is served where nothing newer comes in this time (RFC 8767 5: client response timer)
+	Cache      CacheTimes
+	Alone      bool // questions for one name are not shared: only to measure what sharing saves
+}
+
+// Status is what an answer says.
+type Status int
+
+// The states of an answer.
+const (
+	Found  Status = iota
+	None          // there is no such name, or it has no rules
+	Failed        // nobody said
+)
+
+// Answer is what a question came to.
+type Answer struct {
+	Status Status
+	Rules  []enum.Rule // only to be read
+	Stale  bool        // it ran out, and nothing newer came
+	Cached bool
+}
+
+// Counts are what a client has seen since its start.
+type Counts struct {
+	Asked, Cached, Stale, Shared, Sent, Streams, Answered, None, Failed, Late, Full, Strays, Lame, Down uint64
+}
+
+// Client asks. One goroutine owns it.
+type Client struct {
+	Counts  Counts
+	cfg     Config
+	out     Out
+	timers  clock.Queue
+	health  *Health
+	cache   *cache
+	flights map[string]*flight
+	tries   map[try]*sent
+	streams map[uint64]*sent
+	plain   map[int]bool    // servers that know no EDNS (RFC 6891 7)
+	doubt   map[int]float64 // till then a server is asked by stream: somebody guesses
+	strays  map[int]int     // answers from it that match nothing, since the latest that did
+	drawn   uint64
+	seq     uint64
+	now     float64
+}
+
+// try is all that an answer must match.
+type try struct {
+	port int
+	from netip.AddrPort
+	id   uint16
+}
+
+// sent is one question on its way.
+type sent struct {
+	flight *flight
+	server int
+	at     float64
+	key    try
+	name   string // as it was sent: letters by chance large and small
+	timer  *clock.Timer
+	token  uint64
+	over   bool
+}
+
+// flight is a name that is asked for.
+type flight struct {
+	name    string
+	key     string
+	tried   []int
+	out     []*sent
+	askers  []*asker
+	sends   int
+	settled bool
+}
+
+type asker struct {
+	done  func(now float64, a Answer)
+	limit *clock.Timer
+	early *clock.Timer // when stale answers are given
+	over  bool
+}
+
+const (
+	guesses = 8      // answers that match nothing, after which a server is asked by stream
+	doubted = 2000.0 // ms: so long
+	size    = 1232   // octets of an answer by datagram (RFC 6891 6.2.5, as far as no fragments come)
+	byTCP   = 1000.0 // ms: most that a stream may take
+)
+
+// New makes a client.
+func New(cfg Config, out Out) *Client {
+	return &Client{cfg: cfg, out: out, health: NewHealth(len(cfg.Servers)), cache: newCache(cfg.Cache), flights: map[string]*flight{},
+		tries: map[try]*sent{}, streams: map[uint64]*sent{}, plain: map[int]bool{}, doubt: map[int]float64{}, strays: map[int]int{}}
+}
+
+// Next is when Wake is wanted.
+func (c *Client) Next() float64 { return c.timers.Next() }
+
+// Wake runs what is due.
+func (c *Client) Wake(now float64) {
+	c.now = now
+	c.timers.Run(now)
+}
+
+// Open is how many names are asked for, and how many are kept.
+func (c *Client) Open() (flights, kept int) { return len(c.flights), len(c.cache.of) }
+
+// Up is how many servers are asked at present.
+func (c *Client) Up(now float64) int { return c.health.Up(now) }
+
+func (c *Client) draw() uint64 {
+	c.drawn++
+	return chance.Hash(c.cfg.Seed, c.drawn)
+}
+
+// Ask asks for a name's rules. done is called once, within the time given, at once where the answer is at hand; stop
+// takes the question back, and done is not called then.
+func (c *Client) Ask(now float64, name string, within float64, done func(now float64, a Answer)) (stop func()) {
+	c.now = now
+	c.Counts.Asked++
+	name = strings.ToLower(dns.Fqdn(name))
+	if _, ok := dns.IsDomainName(name); !ok || within <= 0 {
+		c.Counts.Failed++
+		done(now, Answer{Status: Failed})
+		return func() {}
+	}
+	k, fresh := c.cache.fresh(now, name)
+	if fresh {
+		c.Counts.Cached++
+		done(now, k.answer(false))
+		return func() {}
+	}
+	stale := c.cache.stale(now, name)
+	if k != nil && now < k.failed { // it came to nothing a moment ago
+		c.give(now, stale, done)
+		return func() {}
+	}
+	f := c.flights[name]
+	if f == nil || c.cfg.Alone {
+		if len(c.flights) >= c.cfg.Most || c.cfg.Alone && len(c.tries) >= c.cfg.Most {
+			c.Counts.Full++
+			c.give(now, stale, done)
+			return func() {}
+		}
+		f = &flight{name: name, key: name}
+		if c.cfg.Alone {
+			c.seq++
+			f.key += string(rune('a'+c.seq%26)) + chanceKey(c.seq)
+		}
+		if !c.send(f) { // no server is worth a question
+			c.Counts.Down++
+			c.give(now, stale, done)
+			return func() {}
+		}
+		c.flights[f.key] = f
+	} else {
+		c.Counts.Shared++
+	}
+	a := &asker{done: done}
+	f.askers = append(f.askers, a)
+	a.limit = c.timers.Set(now+within, func() {
+		c.Counts.Late++
+		c.tell(a, c.cache.stale(c.now, name))
+	})
+	if stale != nil && c.cfg.StaleAfter < within {
+		a.early = c.timers.Set(now+c.cfg.StaleAfter, func() { c.tell(a, c.cache.stale(c.now, name)) })
+	}
+	return func() {
+		a.over = true
+		c.timers.Stop(a.limit)
+		c.timers.Stop(a.early)
+	}
+}
+
+func chanceKey(n uint64) string {
+	var b [8]byte
+	for i := range b {
+		b[i] = byte('a' + n%16)
+		n /= 16
+	}
+	return string(b[:])
+}
+
+func (k *kept) answer(stale bool) Answer {
+	a := Answer{Status: Found, Rules: k.rules, Stale: stale, Cached: true}
+	if len(k.rules) == 0 {
+		a.Status = None
+	}
+	return a
+}
+
+// give answers at once from what is left.
+func (c *Client) give(now float64, stale *kept, done func(float64, Answer)) {
+	if stale != nil {
+		c.Counts.Stale++
+		done(now, stale.answer(true))
+		return
+	}
+	c.Counts.Failed++
+	done(now, Answer{Status: Failed})
+}
+
+// tell answers an asker before its name has an answer.
+func (c *Client) tell(a *asker, stale *kept) {
+	if a.over {
+		return
+	}
+	a.over = true
+	c.timers.Stop(a.limit)
+	c.timers.Stop(a.early)
+	c.give(c.now, stale, a.done)
+}
+
+// send sends a flight's next question; false: no server is worth one.
+func (c *Client) send(f *flight) bool {
+	r := c.draw()
+	i, wait := c.health.Pick(c.now, f.tried, float64(r>>11)/(1<<53))
+	if i < 0 {
+		return false
+	}
+	f.tried = append(f.tried, i)
+	f.sends++
+	if c.now < c.doubt[i] {
+		c.stream(f, i)
+		return true
+	}
+	s := &sent{flight: f, server: i, at: c.now, name: c.mixed(f.name)}
+	for {
+		r = c.draw()
+		s.key = try{int(r>>32) % max(1, c.cfg.Ports), c.cfg.Servers[i], uint16(r)}
+		if c.tries[s.key] == nil {
+			break
+		}
+	}
+	data, err := c.question(s, i)
+	if err != nil {
+		return false // never: the name was looked at
+	}
+	c.tries[s.key] = s
+	f.out = append(f.out, s)
+	c.Counts.Sent++
+	c.out.Query(s.key.port, s.key.from, data)
+	s.timer = c.timers.Set(c.now+wait, func() {
+		c.health.Missed(i, c.now, s.at)
+		c.again(f)
+	})
+	return true
+}
+
+// stream asks a server over TCP.
+func (c *Client) stream(f *flight, i int) {
+	c.seq++
+	s := &sent{flight: f, server: i, at: c.now, token: c.seq, name: c.mixed(f.name), key: try{from: c.cfg.Servers[i], id: uint16(c.draw())}}
+	data, err := c.question(s, i)
+	if err != nil {
+		return
+	}
+	c.streams[s.token] = s
+	f.out = append(f.out, s)
+	c.Counts.Streams++
+	s.timer = c.timers.Set(c.now+byTCP, func() { c.Streamed(c.now, s.token, nil) }) // whatever the driver does
+	c.out.Stream(s.token, s.key.from, data, byTCP)
+}
+
+func (c *Client) question(s *sent, server int) ([]byte, error) {
+	m := new(dns.Msg)
+	m.SetQuestion(s.name, dns.TypeNAPTR)
+	m.Id = s.key.id
+	if !c.plain[server] {
+		m.SetEdns0(size, false)
+	}
+	return m.Pack()
+}
+
+// mixed writes a name's letters large or small by chance: one more thing that who guesses must guess.
+func (c *Client) mixed(name string) string {
+	b := []byte(name)
+	r := c.draw()
+	for i, x := range b {
+		if x >= 'a' && x <= 'z' {
+			if r&1 == 1 {
+				b[i] = x - 'a' + 'A'
+			}
+			r = r>>1 | r<<63
+		}
+	}
+	return string(b)
+}
+
+// again asks on, or gives the flight up.
+func (c *Client) again(f *flight) {
+	if f.settled {
+		return
+	}
+	if f.sends < c.cfg.Tries && c.send(f) {
+		return
+	}
+	for _, s := range f.out {
+		if !s.over && s.timer != nil && s.at+mostWait > c.now && s.token != 0 {
+			return // a stream may still answer
+		}
+	}
+	c.settle(f, func(a *asker) Answer {
+		if k := c.cache.stale(c.now, f.name); k != nil {
+			c.Counts.Stale++
+			return k.answer(true)
+		}
+		c.Counts.Failed++
+		return Answer{Status: Failed}
+	})
+	c.cache.fail(c.now, f.name)
+}
+
+// settle ends a flight and tells all who asked.
+func (c *Client) settle(f *flight, say func(*asker) Answer) {
+	f.settled = true
+	delete(c.flights, f.key)
+	for _, s := range f.out {
+		s.over = true
+		c.timers.Stop(s.timer)
+		delete(c.tries, s.key)
+		delete(c.streams, s.token)
+	}
+	for _, a := range f.askers {
+		if a.over {
+			continue
+		}
+		a.over = true
+		c.timers.Stop(a.limit)
+		c.timers.Stop(a.early)
+		a.done(c.now, say(a))
+	}
+}
+
+// Receive takes a datagram that came to one of the ports. What matches no question is dropped and counted.
+func (c *Client) Receive(now float64, port int, from netip.AddrPort, data []byte) {
+	c.now = now
+	if len(data) < 12 {
+		c.Counts.Strays++
+		return
+	}
+	s := c.tries[try{port, from, uint16(data[0])<<8 | uint16(data[1])}]
+	m := new(dns.Msg)
+	if s == nil || m.Unpack(data) != nil || !matches(m, s.name) {
+		c.stray(from)
+		return
+	}
+	c.strays[s.server] = 0
+	c.timers.Stop(s.timer)
+	s.over = true
+	delete(c.tries, s.key)
+	c.health.Answered(s.server, now, now-s.at)
+	if m.Truncated { // RFC 2181 9: what came is not used
+		c.stream(s.flight, s.server)
+		return
+	}
+	c.heard(s, m)
+}
+
+// stray notes an answer that matches nothing. Many of one server are somebody's guesses, or the server's answers to
+// questions given up: either way the next questions to it go where no guess gets in.
+func (c *Client) stray(from netip.AddrPort) {
+	c.Counts.Strays++
+	for i, a := range c.cfg.Servers {
+		if a == from {
+			if c.strays[i]++; c.strays[i] >= guesses {
+				c.strays[i], c.doubt[i] = 0, c.now+doubted
+			}
+		}
+	}
+}
+
+// Streamed takes what a stream brought; nil: nothing.
+func (c *Client) Streamed(now float64, token uint64, data []byte) {
+	c.now = now
+	s := c.streams[token]
+	if s == nil {
+		return
+	}
+	delete(c.streams, token)
+	c.timers.Stop(s.timer)
+	s.over = true
+	m := new(dns.Msg)
+	if data == nil || m.Unpack(data) != nil || m.Id != s.key.id || !matches(m, s.name) {
+		c.health.Missed(s.server, now, s.at)
+		c.again(s.flight)
+		return
+	}
+	c.health.Answered(s.server, now, now-s.at)
+	c.heard(s, m)
+}
+
+// matches tells whether a message answers the question that was sent, letter by letter.
+func matches(m *dns.Msg, name string) bool {
+	return m.Response && len(m.Question) == 1 && m.Question[0].Name == name && m.Question[0].Qtype == dns.TypeNAPTR &&
+		m.Question[0].Qclass == dns.ClassINET
+}
+
+// heard takes an answer to a question.
+func (c *Client) heard(s *sent, m *dns.Msg) {
+	f := s.flight
+	if f.settled {
+		return
+	}
+	rules, ttl, negative, leads := read(m, f.name)
+	switch {
+	case m.Rcode == dns.RcodeFormatError && !c.plain[s.server]:
+		c.plain[s.server] = true
+		f.sends = min(f.sends, c.cfg.Tries-1) // the same question once more, as the server knows it
+		c.again(f)
+	case m.Rcode == dns.RcodeSuccess && len(rules) > 0:
+		c.Counts.Answered++
+		c.health.Sound(s.server)
+		c.cache.put(c.now, f.name, rules, ttl)
+		c.settle(f, func(*asker) Answer { return Answer{Status: Found, Rules: rules} })
+	case (m.Rcode == dns.RcodeSuccess || m.Rcode == dns.RcodeNameError) && !leads && (m.Authoritative || negative >= 0 || m.RecursionAvailable):
+		c.Counts.None++
+		c.health.Sound(s.server)
+		c.cache.put(c.now, f.name, nil, max(0, negative))
+		c.settle(f, func(*asker) Answer { return Answer{Status: None} })
+	default: // a fault, a refusal, or a server that knows nothing of the zone and points elsewhere
+		c.Counts.Lame++
+		c.health.Lame(s.server, c.now)
+		c.again(f)
+	}
+}
+
+// read takes from an answer what answers the question and nothing else: rules of the name or of what it is another name
+// of, and how long they hold in ms; of a negative answer how long it holds (RFC 2308 5), -1 where it does not say. leads
+// says that the answer only points to other servers.
+func read(m *dns.Msg, name string) (rules []enum.Rule, ttl, negative float64, leads bool) {
+	ttl, negative = 1e12, -1
+	for range 8 { // names of names
+		next := ""
+		for _, rr := range m.Answer {
+			h := rr.Header()
+			if !strings.EqualFold(h.Name, name) || h.Class != dns.ClassINET {
+				continue
+			}
+			switch rr := rr.(type) {
+			case *dns.NAPTR:
+				if len(rules) <= enum.MostRules { // one too many shows that there are too many
+					rules = append(rules, enum.Rule{Order: rr.Order, Preference: rr.Preference, Flags: text(rr.Flags), Service: text(rr.Service),
+						Regexp: text(rr.Regexp), Replacement: rr.Replacement})
+				}
+				ttl = min(ttl, 1000*float64(h.Ttl))
+			case *dns.CNAME:
+				next = rr.Target
+				ttl = min(ttl, 1000*float64(h.Ttl))
+			}
+		}
+		if len(rules) > 0 || next == "" {
+			break
+		}
+		name = next
+	}
+	for _, rr := range m.Ns {
+		switch rr := rr.(type) {
+		case *dns.SOA:
+			if dns.IsSubDomain(rr.Hdr.Name, name) {
+				negative = 1000 * float64(min(rr.Hdr.Ttl, rr.Minttl))
+			}
+		case *dns.NS:
+			leads = len(m.Answer) == 0
+		}
+	}
+	return rules, ttl, negative, leads && negative < 0
+}
+
+// text is a character string as it was on the wire: the library hands it on in the form of zone files, with quotes and
+// backslashes escaped and other octets as \DDD.
+func text(s string) string {
+	if !strings.Contains(s, "\\") {
+		return s
+	}
+	b := make([]byte, 0, len(s))
+	for i := 0; i < len(s); i++ {
+		if s[i] != '\\' || i+1 == len(s) {
+			b = append(b, s[i])
+			continue
+		}
+		i++
+		if i+2 < len(s) && s[i] >= '0' && s[i] <= '2' && s[i+1] >= '0' && s[i+1] <= '9' && s[i+2] >= '0' && s[i+2] <= '9' {
+			b = append(b, 100*(s[i]-'0')+10*(s[i+1]-'0')+s[i+2]-'0')
+			i += 2
+			continue
+		}
+		b = append(b, s[i])
+	}
+	return string(b)
+}
--- /dev/null
+++ b/resolve/resolve_test.go
@@ -0,0 +1,421 @@
+package resolve
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"testing"
+
+	"github.com/miekg/dns"
+	"pgregory.net/rapid"
+
+	"cobaltpier/chance"
+	"cobaltpier/clock"
+	"cobaltpier/enum"
+	"cobaltpier/lab/names"
+)
+
+// rig is a client and stand-in servers in virtual time.
+type rig struct {
+	t       testing.TB
+	c       *Client
+	events  clock.Queue
+	now     float64
+	servers []*names.Server
+	addrs   []netip.AddrPort
+	sent    []int // by server, datagrams
+	streams int
+	ids     map[uint16]bool
+	ports   map[int]int
+}
+
+func addr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(1 + i)}), 53)
+}
+
+func newRig(t testing.TB, n int, change func(*Config)) *rig {
+	r := &rig{t: t, sent: make([]int, n), ids: map[uint16]bool{}, ports: map[int]int{}}
+	z := &names.Zone{Apex: "e164.test.", Seed: 5, Ported: 0.3, None: 0.1, TTL: 60, Routes: []string{"+15145550000", "+15145550001"}}
+	cfg := Config{Ports: 4, Seed: 9, Most: 1000, Tries: 5, StaleAfter: 100,
+		Cache: CacheTimes{Most: 10000, Least: 1000, Longest: 3600e3, Negative: 30e3, Stale: 600e3, Fail: 1000}}
+	for i := range n {
+		r.addrs = append(r.addrs, addr(i))
+		r.servers = append(r.servers, &names.Server{Zone: z, Seed: uint64(i), Faults: names.Faults{Delay: 10, Jitter: 4}})
+	}
+	cfg.Servers = r.addrs
+	if change != nil {
+		change(&cfg)
+	}
+	r.c = New(cfg, r)
+	return r
+}
+
+func (r *rig) Query(port int, to netip.AddrPort, data []byte) {
+	i := slices.Index(r.addrs, to)
+	r.sent[i]++
+	r.ids[uint16(data[0])<<8|uint16(data[1])] = true
+	r.ports[port]++
+	for _, x := range r.servers[i].Datagram(data) {
+		r.events.Set(r.now+x.After, func() { r.c.Receive(r.now, port, to, x.Data) })
+	}
+}
+
+func (r *rig) Stream(token uint64, to netip.AddrPort, data []byte, within float64) {
+	r.streams++
+	xs := r.servers[slices.Index(r.addrs, to)].Stream(data)
+	if len(xs) == 0 {
+		return // the client's own bound must do
+	}
+	r.events.Set(r.now+xs[0].After, func() { r.c.Streamed(r.now, token, xs[0].Data) })
+}
+
+func (r *rig) run(until float64) {
+	for {
+		at := math.Min(r.events.Next(), r.c.Next())
+		if at > until {
+			r.now = until
+			return
+		}
+		r.now = math.Max(at, r.now)
+		r.events.Run(r.now)
+		r.c.Wake(r.now)
+	}
+}
+
+type got struct {
+	Answer
+	at float64
+	n  int
+}
+
+func (r *rig) ask(number string, within float64) *got {
+	d, err := enum.Domain(number, "e164.test.")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	g := &got{}
+	r.c.Ask(r.now, d, within, func(now float64, a Answer) { *g = got{a, now, g.n + 1} })
+	return g
+}
+
+// find is a number that a test of its zone holds for.
+func (r *rig) find(want func(z *names.Zone, n string) bool) string {
+	for i := range 10000 {
+		if n := fmt.Sprint(14185550000 + i); want(r.servers[0].Zone, n) {
+			return n
+		}
+	}
+	r.t.Fatal("no such number")
+	return ""
+}
+
+func (r *rig) ported() string {
+	return r.find(func(z *names.Zone, n string) bool { return z.Routing(n) != "" })
+}
+
+// An answer is given, kept for its time and shared by all who ask meanwhile; what none has is kept too.
+func TestAnswer(t *testing.T) {
+	r := newRig(t, 2, nil)
+	n := r.ported()
+	a, b := r.ask(n, 500), r.ask(n, 500)
+	r.run(100)
+	if a.n != 1 || b.n != 1 || a.Status != Found || len(a.Rules) != 2 || r.sent[0]+r.sent[1] != 1 || r.c.Counts.Shared != 1 {
+		t.Fatalf("%+v %+v, sent %v", a, b, r.sent)
+	}
+	res, err := enum.Apply("+"+n, a.Rules, "pstn:tel")
+	_, p, err2 := enum.Tel(res.URI)
+	if err != nil || err2 != nil || p.Routing != r.servers[0].Zone.Routing(n) {
+		t.Errorf("%v, %v, %+v: want %s", res, err, p, r.servers[0].Zone.Routing(n))
+	}
+	if c := r.ask(n, 500); c.n != 1 || !c.Cached || c.at != 100 {
+		t.Errorf("kept: %+v", c)
+	}
+	r.run(61000)
+	r.ask(n, 500)
+	r.run(62000)
+	if r.sent[0]+r.sent[1] != 2 {
+		t.Errorf("after its time: sent %v", r.sent)
+	}
+	none := r.find(func(z *names.Zone, n string) bool {
+		_, ok := (&names.Server{Zone: z}), z.Routing(n) == ""
+		a := r.ask(n, 500)
+		r.run(r.now + 500)
+		return ok && a.Status == None
+	})
+	before := r.sent[0] + r.sent[1]
+	if g := r.ask(none, 500); g.n != 1 || g.Status != None || !g.Cached {
+		t.Errorf("none: %+v", g)
+	}
+	r.run(r.now + 29000)
+	if g := r.ask(none, 500); g.n != 1 || r.sent[0]+r.sent[1] != before {
+		t.Errorf("none, 29 s later: %+v", g)
+	}
+	r.run(r.now + 2000)
+	if g := r.ask(none, 500); g.n != 0 {
+		t.Errorf("none, after its time: %+v", g)
+	}
+}
+
+// Each trouble of one of two servers: answers come within the time, from the other one, and none is false.
+func TestTroubles(t *testing.T) {
+	for name, f := range map[string]names.Faults{
+		"silent":      {Silent: true},
+		"slow":        {Delay: 900},
+		"lossy":       {Delay: 10, Loss: 0.7},
+		"wrong id":    {Delay: 10, WrongID: 1},
+		"spoofed":     {Delay: 10, Spoof: 1, Guesses: 50},
+		"truncated":   {Delay: 10, Cut: 1},
+		"no stream":   {Delay: 10, Cut: 1, NoStream: true},
+		"lame":        {Delay: 10, Lame: true},
+		"refers":      {Delay: 10, Refer: true},
+		"servfail":    {Delay: 10, ServFail: true},
+		"no edns":     {Delay: 10, NoEDNS: true},
+		"flat":        {Delay: 10, Flat: true},
+		"poison":      {Delay: 10, Poison: true},
+		"no trouble":  {Delay: 10},
+		"all at once": {Delay: 20, Jitter: 100, Loss: 0.3, Spoof: 0.5, Guesses: 4, Cut: 0.3, WrongID: 0.2, NoEDNS: true, Poison: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, nil)
+			r.servers[0].Faults = f
+			var all []*got
+			var nums []string
+			for i := range 2000 {
+				n := fmt.Sprint(14180000000 + i)
+				nums = append(nums, n)
+				all = append(all, r.ask(n, 1500))
+				r.run(r.now + 5)
+			}
+			r.run(r.now + 3000)
+			late, failed := 0, 0
+			for i, g := range all {
+				if g.n != 1 {
+					t.Fatalf("%s: %d answers", nums[i], g.n)
+				}
+				if g.at > float64(i)*5+1500 {
+					late++
+				}
+				if g.Status == Failed {
+					failed++
+				}
+				if g.Status != Found {
+					continue
+				}
+				res, err := enum.Apply("+"+nums[i], g.Rules, "pstn:tel")
+				_, p, err2 := enum.Tel(res.URI)
+				if err != nil || err2 != nil || p.Routing != r.servers[0].Zone.Routing(nums[i]) {
+					t.Fatalf("%s: a false answer: %v %v %v", nums[i], res, err, err2)
+				}
+			}
+			if late > 0 || failed > 4 {
+				t.Errorf("of 2000 %d late, %d failed", late, failed)
+			}
+			if f, k := r.c.Open(); f != 0 || k == 0 || len(r.c.tries) != 0 || len(r.c.streams) != 0 {
+				t.Errorf("left over: %d names, %d questions, %d streams", f, len(r.c.tries), len(r.c.streams))
+			}
+			t.Logf("%v datagrams, %d streams, %+v", r.sent, r.streams, r.c.Counts)
+		})
+	}
+}
+
+// A server that is dead costs few questions, and is found again soon after it is back.
+func TestDeadAndBack(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.servers[0].Faults.Silent = true
+	load := func(span float64) {
+		for end := r.now + span; r.now < end; {
+			r.ask(fmt.Sprint(15140000000+int(r.now*100)), 500)
+			r.run(r.now + 2)
+		}
+	}
+	load(2000)
+	r.sent[0] = 0
+	load(20000)
+	if r.sent[0] > 12 {
+		t.Errorf("a dead server got %d questions in 20 s", r.sent[0])
+	}
+	r.servers[0].Faults.Silent = false
+	load(12000)
+	r.sent = make([]int, 2)
+	load(5000)
+	if r.sent[0] < 500 || r.sent[1] < 500 {
+		t.Errorf("after it is back: %v", r.sent)
+	}
+}
+
+// All servers are dead for 30 s: what is kept is served though it ran out, the rest fails soon and not one question in a
+// thousand goes out; after that all is as before.
+func TestAllDead(t *testing.T) {
+	r := newRig(t, 2, nil)
+	r.servers[0].Zone.TTL = 1
+	warm := r.ported()
+	if r.ask(warm, 500); r.now != 0 {
+		t.Fatal()
+	}
+	r.run(2000)
+	for _, s := range r.servers {
+		s.Faults.Silent = true
+	}
+	cold, stale, slow, tries := 0, 0, 0, 0
+	r.sent = make([]int, 2)
+	for end := r.now + 30000; r.now < end; {
+		at := r.now
+		w, c := r.ask(warm, 1000), r.ask(fmt.Sprint(15140000000+int(r.now)), 1000)
+		r.run(r.now + 10)
+		if w.n == 1 && w.Stale && w.Status == Found {
+			stale++
+		}
+		if c.n == 1 && c.Status == Failed {
+			cold++
+		}
+		if at > 5000 && (w.n != 1 || c.n != 1) {
+			slow++
+		}
+		tries++
+	}
+	if stale < tries*9/10 || cold < tries*8/10 || slow > tries/50 || r.sent[0]+r.sent[1] > 60 {
+		t.Errorf("of %d: %d stale, %d failed at once, %d not at once; sent %v", tries, stale, cold, slow, r.sent)
+	}
+	for _, s := range r.servers {
+		s.Faults.Silent = false
+	}
+	r.run(r.now + 11000)
+	r.ask(fmt.Sprint(15150000000), 500) // the one that finds out
+	r.run(r.now + 2000)
+	if g := r.ask(fmt.Sprint(15150000001), 500); g.n != 0 {
+		t.Errorf("after they are back: %+v at once", g)
+	} else if r.run(r.now + 500); g.Status == Failed {
+		t.Errorf("after they are back: %+v", g)
+	}
+}
+
+// Questions that were taken back are not answered, and one whose time is over is answered once.
+func TestStop(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.servers[0].Faults.Delay = 200
+	d, _ := enum.Domain("14185551234", "e164.test.")
+	called := 0
+	stop := r.c.Ask(0, d, 500, func(float64, Answer) { called++ })
+	g := r.ask("14185551234", 100)
+	stop()
+	r.run(100)
+	if called != 0 || g.n != 1 || g.Status != Failed || g.at != 100 {
+		t.Errorf("stopped: %d, %+v", called, g)
+	}
+	r.run(1000)
+	if h := r.ask("14185551234", 100); h.n != 1 || !h.Cached { // the answer that nobody waited for is kept
+		t.Errorf("%+v", h)
+	}
+	if called != 0 || g.n != 1 {
+		t.Errorf("answered again: %d, %+v", called, g)
+	}
+}
+
+// The bound on names asked for holds under a flood of names, and those above it fail at once.
+func TestFlood(t *testing.T) {
+	r := newRig(t, 1, func(c *Config) { c.Most, c.Cache.Most = 100, 50 })
+	for i := range 1000 {
+		r.ask(fmt.Sprint(14180000000+i), 500)
+	}
+	if f, _ := r.c.Open(); f != 100 || r.c.Counts.Full != 900 || r.sent[0] != 100 {
+		t.Errorf("%d names, %d refused, %d sent", f, r.c.Counts.Full, r.sent[0])
+	}
+	r.run(1000)
+	if f, k := r.c.Open(); f != 0 || k != 50 {
+		t.Errorf("after: %d names, %d kept", f, k)
+	}
+}
+
+// Ids, ports and letters are drawn: who guesses has all of them to guess.
+func TestChance(t *testing.T) {
+	r := newRig(t, 1, nil)
+	mixed := map[string]bool{}
+	for i := range 2000 {
+		r.ask(fmt.Sprint(14180000000+i), 500)
+		for k, s := range r.c.tries {
+			_ = k
+			mixed[s.name[len(s.name)-10:]] = true
+		}
+		r.run(r.now + 20)
+	}
+	if len(r.ids) < 1900 || len(r.ports) != 4 || len(mixed) != 32 { // five letters
+		t.Errorf("%d ids, ports %v, %d ways to write the apex", len(r.ids), r.ports, len(mixed))
+	}
+}
+
+// What is read of an answer is what answers the question, whatever else stands in it, and never a panic.
+func FuzzReceive(f *testing.F) {
+	m := new(dns.Msg)
+	m.SetQuestion("4.3.2.1.e164.test.", dns.TypeNAPTR)
+	m.Response = true
+	b, _ := m.Pack()
+	f.Add(b)
+	rr, err := dns.NewRR(`4.3.2.1.e164.test. 60 IN NAPTR 1 2 "u" "E2U+sip" "!^.*$!sip:a@x!" .`)
+	if err != nil {
+		f.Fatal(err)
+	}
+	m.Answer = []dns.RR{rr}
+	b, _ = m.Pack()
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := newRig(t, 1, nil)
+		r.servers[0].Faults.Silent = true
+		g := r.ask("1234", 500)
+		for k, s := range r.c.tries {
+			if len(data) > 2 {
+				data = slices.Clone(data)
+				data[0], data[1] = byte(k.id>>8), byte(k.id)
+			}
+			s.name = "4.3.2.1.e164.test."
+			r.c.Receive(1, k.port, k.from, data)
+		}
+		r.run(5000)
+		if g.n != 1 {
+			t.Errorf("%d answers", g.n)
+		}
+	})
+}
+
+// A name's answer never comes from another name: a model that knows each name's rules looks on while servers, times and
+// troubles are drawn.
+func TestNeverAnothersAnswer(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newRig(t, 3, func(c *Config) { c.Seed = rapid.Uint64().Draw(rt, "seed"); c.Cache.Most = 20 })
+		r.servers[0].Zone.TTL = uint32(rapid.IntRange(0, 3).Draw(rt, "ttl"))
+		type q struct {
+			n     string
+			g     *got
+			until float64
+		}
+		var qs []q
+		for i := range rapid.IntRange(10, 120).Draw(rt, "steps") {
+			if rapid.IntRange(0, 4).Draw(rt, "trouble") == 0 {
+				u := func(k uint64) float64 { return chance.Of(uint64(i), k, r.c.cfg.Seed) }
+				r.servers[int(3*u(0))].Faults = names.Faults{Silent: u(1) < 0.2, Delay: 300 * u(2), Jitter: 300 * u(3), Loss: u(4) * u(4),
+					WrongID: u(5) * u(5), Spoof: u(6) * u(6), Guesses: int(30 * u(7)), Cut: u(8) * u(8), NoStream: u(9) < 0.3,
+					Lame: u(10) < 0.1, Refer: u(11) < 0.1, ServFail: u(12) < 0.1, Poison: u(13) < 0.5}
+			}
+			n := fmt.Sprint(14180000000 + rapid.IntRange(0, 40).Draw(rt, "number"))
+			within := rapid.Float64Range(1, 800).Draw(rt, "within")
+			qs = append(qs, q{n, r.ask(n, within), r.now + within})
+			r.run(r.now + rapid.Float64Range(0, 400).Draw(rt, "pause"))
+		}
+		r.run(r.now + 5000)
+		for _, q := range qs {
+			if q.g.n != 1 || q.g.at > q.until+1e-6 {
+				rt.Fatalf("%s: %d answers, at %.1f of %.1f", q.n, q.g.n, q.g.at, q.until)
+			}
+			if q.g.Status == Found {
+				res, err := enum.Apply("+"+q.n, q.g.Rules, "pstn:tel")
+				_, p, _ := enum.Tel(res.URI)
+				if err != nil || p.Routing != r.servers[0].Zone.Routing(q.n) {
+					rt.Fatalf("%s: %v, %v", q.n, res, err)
+				}
+			}
+		}
+		if f, _ := r.c.Open(); f != 0 || len(r.c.tries) != 0 {
+			rt.Fatalf("left over: %d names, %d questions", f, len(r.c.tries))
+		}
+	})
+}
