The edge analyses numbers: one table a contact, look-ups within its patience

Need: tables and look-ups stood beside the edge unused.

A contact's number is analysed by the table in force when it comes; a question goes out once the intake has taken it, for a part of its patience; the route names skill, customer and trunk group, and a routing number goes on as npdi and rn (RFC 4694). A thousand contacts half analysed when tables change end each by their own, and the old tables are let go. Settings and gateway do not offer it yet.

--- /dev/null
+++ b/edge/analysis.go
@@ -0,0 +1,170 @@
+package edge
+
+import (
+	"strings"
+	"time"
+
+	"cobaltpier/chance"
+	"cobaltpier/enum"
+	"cobaltpier/number"
+	"cobaltpier/signal"
+)
+
+// routing is what a number's analysis has come to. A contact carries one table from its first digit to its final
+// answer, whatever table new contacts get meanwhile.
+type routing struct {
+	analysis *number.Analysis
+	waits    string // the number to be looked up
+	within   float64
+	stop     func() // takes the look-up back
+	version  uint64
+	name     string
+	params   string // what goes on with the number (RFC 4694)
+}
+
+// Use gives new contacts another table, nil: none. Contacts that are held keep theirs.
+func (e *Edge) Use(t *number.Table) { e.table = t }
+
+// Tables says how many contacts without a final answer carry each table but the present one.
+func (e *Edge) Tables() (old, contacts int) {
+	for t, n := range e.tables {
+		if t != e.table {
+			old++
+			contacts += n
+		}
+	}
+	return
+}
+
+// analyse begins the analysis of a contact's number. What the table refuses at once is answered here and needs no state;
+// a question goes out only when the intake has taken the contact, so that a flood asks for nothing.
+func (k *call) analyse(user, params string) bool {
+	e := k.edge
+	p, err := enum.Params(params)
+	if err != nil {
+		k.server.Respond(signal.Response(k.req, 400, "Bad Portability Parameters", e.names.Next()))
+		return false
+	}
+	e.drawn++
+	a, o := e.table.Begin(number.Call{Dialled: user, Looked: p.Looked, Routing: p.Routing, At: e.cfg.Epoch.Add(time.Duration(e.now * float64(time.Millisecond))),
+		Draw: chance.Of(e.names.Seed, e.drawn)})
+	k.route.analysis, k.route.version = a, a.Table.Version
+	e.tables[a.Table]++
+	if o.Refusal != nil {
+		e.Counts.Unrouted++
+		k.letGo()
+		k.server.Respond(signal.Response(k.req, o.Refusal.Code, phrase(o.Refusal.Why), e.names.Next()))
+		return false
+	}
+	if o.Route != nil {
+		if !k.routed(o.Route) {
+			k.letGo()
+			k.server.Respond(signal.Response(k.req, 500, "Server Internal Error", e.names.Next()))
+			return false
+		}
+		return true
+	}
+	k.route.waits, k.route.within = o.Ask, float64(o.Within)/1e6
+	return true
+}
+
+// lookUp asks what the analysis wants to know, for no longer than a part of what is left of the caller's patience.
+func (k *call) lookUp() {
+	e := k.edge
+	within := min(k.route.within, e.cfg.Share*(k.Until-e.now))
+	over := false
+	done := func(now float64, what number.Answer, rn string) {
+		over = true
+		k.route.stop = nil
+		if k.Over {
+			return
+		}
+		e.now, e.sip.Now = now, now
+		k.goOn(k.route.analysis.Answered(what, rn))
+	}
+	if e.cfg.Look == nil || within <= 0 {
+		done(e.now, number.Silent, "")
+		return
+	}
+	e.Counts.Asked++
+	stop := e.cfg.Look.Ask(e.now, k.route.waits, within, done)
+	if !over {
+		k.route.stop = stop
+	}
+}
+
+// goOn takes the end of an analysis that had a question: the module gets the contact, or the caller its answer.
+func (k *call) goOn(o number.Outcome) {
+	e := k.edge
+	switch {
+	case o.Refusal != nil:
+		e.Counts.Unrouted++
+		k.answer(signal.Response(k.req, o.Refusal.Code, phrase(o.Refusal.Why), k.tag))
+	case o.Route == nil || !k.routed(o.Route):
+		e.Abandon(k.Contact)
+	default:
+		k.Home = e.pools.Home(k.HomeNumber)
+		k.offer()
+	}
+}
+
+// routed puts a route's fields into the contact; false: it names what this edge does not have.
+func (k *call) routed(r *number.Route) bool {
+	e := k.edge
+	g := e.byName[r.Group]
+	if g == nil {
+		return false
+	}
+	if r.Skill != "" {
+		s := e.skills[r.Skill]
+		if s == nil {
+			return false
+		}
+		k.Skill = s
+		k.patience()
+	}
+	if r.Customer != "" {
+		if k.Customer = e.payers[r.Customer]; k.Customer == nil {
+			return false
+		}
+	}
+	k.Number, k.HomeNumber, k.route.name = r.Number, g.Pool, r.Name
+	if r.Looked {
+		k.route.params = ";npdi"
+		if r.Routing != "" {
+			k.route.params += ";rn=" + r.Routing
+		}
+	}
+	return true
+}
+
+// letGo ends a contact's hold of its table and takes back what it asked.
+func (k *call) letGo() {
+	r := &k.route
+	if r.stop != nil {
+		r.stop()
+		r.stop = nil
+	}
+	if r.analysis == nil {
+		return
+	}
+	t := r.analysis.Table
+	if k.edge.tables[t]--; k.edge.tables[t] == 0 {
+		delete(k.edge.tables, t)
+	}
+	r.analysis = nil
+}
+
+// phrase makes a reason phrase (RFC 3261 7.2) of a table's text: one line.
+func phrase(s string) string {
+	s = strings.Map(func(c rune) rune {
+		if c < ' ' || c == 127 {
+			return ' '
+		}
+		return c
+	}, s)
+	if len(s) > 200 {
+		s = s[:200]
+	}
+	return s
+}
--- /dev/null
+++ b/edge/analysis_test.go
@@ -0,0 +1,236 @@
+package edge
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/emiago/sipgo/sip"
+
+	"cobaltpier/contact"
+	"cobaltpier/number"
+	"cobaltpier/signal"
+)
+
+const tableText = `
+name    = "t%d"
+version = %d
+route "a" {
+  skill = "claim"
+  group "TG-1" {
+  }
+}
+route "b" {
+  group "TG-0" {
+  }
+}
+route "bad" {
+  group "TG-9" {
+  }
+}
+plan "start" {
+  rule "1418" {
+    portability {
+      within = "400ms"
+      ported {
+        plan = "mark"
+      }
+      same {
+        plan = "mark"
+      }
+      silent {
+        route = "b"
+      }
+    }
+  }
+  rule "1613" {
+    route = "bad"
+  }
+  rule "1911" {
+    refuse = "not\nhere"
+    code   = 410
+  }
+}
+plan "mark" {
+  rule "" {
+    add  = "%d"
+    plan = "end"
+  }
+}
+plan "end" {
+  rule "%d" {
+    route = "a"
+  }
+}
+`
+
+func numbers(t *testing.T, version int) *number.Table {
+	x, err := number.Parse("t.hcl", []byte(fmt.Sprintf(tableText, version, version, 700+version, 700+version)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// book is a look-up that a test answers by hand.
+type book struct {
+	asked   []string
+	within  []float64
+	done    []func(now float64, what number.Answer, rn string)
+	stopped int
+}
+
+func (b *book) Ask(_ float64, digits string, within float64, done func(float64, number.Answer, string)) func() {
+	b.asked, b.within, b.done = append(b.asked, digits), append(b.within, within), append(b.done, done)
+	return func() { b.stopped++ }
+}
+func (b *book) Wake(float64)  {}
+func (b *book) Next() float64 { return 1e18 }
+
+func numberRig(t *testing.T) (*rig, *book) {
+	r, b := newRig(t), &book{}
+	r.e.cfg.Look, r.e.cfg.Share = b, 0.25
+	r.e.Use(numbers(t, 1))
+	return r, b
+}
+
+// A number whose portability is looked up is set up over its route's group with its routing number, and its skill's
+// patience holds.
+func TestRouted(t *testing.T) {
+	r, b := numberRig(t)
+	var got *contact.Contact
+	r.m.offered = func(now float64, c *contact.Contact) { got = c; r.m.h.Ring(c, r.m.pools[1], c.Until-now) }
+	r.get(caller, callerSays("INVITE", "a1", ""))
+	if len(b.asked) != 1 || b.asked[0] != "14185550123" || b.within[0] != 400 || got != nil {
+		t.Fatalf("asked %v within %v, offered %v", b.asked, b.within, got)
+	}
+	r.pass(200)
+	r.sent(caller, "SIP/2.0 100")
+	b.done[0](r.now, number.Ported, "+15145550000")
+	if got == nil || got.Skill.Name != "claim" || got.HomeNumber != 1 || got.Home != r.m.pools[1] || got.Until != got.Came+6000 {
+		t.Fatalf("offered %+v", got)
+	}
+	req := r.sent(switchB, "INVITE sip:+14185550123;npdi;rn=+70115145550000;tgrp=TG-1;")
+	if signal.Field(req.(*sip.Request), signal.Service) != "urn:urn-7:claim" {
+		t.Error("the wrong skill")
+	}
+	if n, _ := r.e.Tables(); n != 0 {
+		t.Errorf("%d old tables", n)
+	}
+}
+
+// A look-up uses no more than its part of what is left of the caller's patience.
+func TestShareOfPatience(t *testing.T) {
+	r, b := numberRig(t)
+	r.get(caller, strings.Replace(callerSays("INVITE", "a1", ""), "Expires: 9", "Expires: 1", 1))
+	if len(b.within) != 1 || b.within[0] != 250 {
+		t.Errorf("within %v", b.within)
+	}
+}
+
+// A caller that hangs up takes its question back; an answer that comes then, or after the contact's end, changes nothing.
+func TestAnswerTooLate(t *testing.T) {
+	r, b := numberRig(t)
+	r.m.offered = func(float64, *contact.Contact) { t.Error("offered") }
+	r.get(caller, callerSays("INVITE", "a1", ""))
+	r.get(caller, callerSays("CANCEL", "a1", ""))
+	r.sent(caller, "SIP/2.0 487")
+	b.done[0](r.now, number.NotPorted, "")
+	if b.stopped != 1 || len(r.m.heard) != 0 {
+		t.Errorf("stopped %d, the module heard %v", b.stopped, r.m.heard)
+	}
+	r.get(caller, callerSays("INVITE", "b1", ""))
+	r.pass(9500) // the look-up never returns
+	r.sent(caller, "SIP/2.0 500")
+	b.done[1](r.now, number.NotPorted, "")
+	if b.stopped != 2 || r.e.Counts.Overdue != 1 {
+		t.Errorf("stopped %d, overdue %d", b.stopped, r.e.Counts.Overdue)
+	}
+	if old, n := r.e.Tables(); old != 0 || n != 0 {
+		t.Errorf("%d contacts hold %d tables", n, old)
+	}
+}
+
+// A thousand contacts are half analysed when their table changes: each ends by the table that it began with, and then the
+// old table is let go.
+func TestSwapInFlight(t *testing.T) {
+	r, b := numberRig(t)
+	r.e.cfg.Gate.Most = 5000
+	var sent []string
+	r.m.offered = func(now float64, c *contact.Contact) {
+		sent = append(sent, c.Number+c.ID.(*call).route.params)
+		r.m.h.Defer(c, 0)
+	}
+	for v := 1; v <= 4; v++ {
+		r.e.Use(numbers(t, v))
+		for i := range 250 {
+			r.get(caller, callerSays("INVITE", fmt.Sprintf("%x%d", v, i), ""))
+		}
+	}
+	old, n := r.e.Tables()
+	if old != 3 || n != 750 {
+		t.Fatalf("%d contacts hold %d old tables", n, old)
+	}
+	r.e.Use(numbers(t, 5))
+	for i := range 1000 {
+		b.done[i](r.now, number.NotPorted, "")
+	}
+	for i, s := range sent {
+		if want := fmt.Sprintf("+%d14185550123;npdi", 701+i/250); s != want {
+			t.Fatalf("contact %d was sent to %s, want %s", i, s, want)
+		}
+	}
+	if old, n := r.e.Tables(); len(sent) != 1000 || old != 0 || n != 0 {
+		t.Errorf("%d offered; %d contacts hold %d old tables", len(sent), n, old)
+	}
+}
+
+// What a table refuses is answered at once and asks for nothing, and so is a number that is none; a route that this edge
+// does not have is a fault of its own.
+func TestRefused(t *testing.T) {
+	r, b := numberRig(t)
+	r.m.offered = func(float64, *contact.Contact) { t.Error("offered") }
+	for number, want := range map[string]string{"+19115550123": "SIP/2.0 410 not here", "+15145550123": "SIP/2.0 404", "+1CALLME": "SIP/2.0 484",
+		"+16135550123": "SIP/2.0 500", "+1418555;npdi;npdi": "SIP/2.0 400"} {
+		r.get(caller, strings.Replace(callerSays("INVITE", "z"+want[8:11], ""), "+14185550123", number, 1))
+		r.sent(caller, want)
+		r.said = 0
+	}
+	if held, _ := r.e.Held(); held != 0 || len(b.asked) != 0 || len(r.e.tables) != 0 {
+		t.Errorf("%d held, asked %v, %d tables", held, b.asked, len(r.e.tables))
+	}
+}
+
+// A flood that the intake turns away asks for nothing.
+func TestFloodAsksNothing(t *testing.T) {
+	r, b := numberRig(t)
+	r.e.cfg.Gate.Most = 10
+	for i := range 200 {
+		r.get(caller, callerSays("INVITE", fmt.Sprintf("f%d", i), ""))
+	}
+	if len(b.asked) > 10 || r.e.Counts.Turned < 190 {
+		t.Errorf("%d asked, %d turned away", len(b.asked), r.e.Counts.Turned)
+	}
+}
+
+// A contact held for its look-up is served when the edge drains meanwhile; to the pool that the list has then.
+func TestListedAndDrainingMeanwhile(t *testing.T) {
+	r, b := numberRig(t)
+	r.m.offered = func(now float64, c *contact.Contact) { r.m.h.Ring(c, r.m.pools[0], c.Until-now) }
+	r.get(caller, callerSays("INVITE", "a1", ""))
+	r.e.Close()
+	r.list(contact.Draining)
+	b.done[0](r.now, number.Silent, "")
+	r.pass(1)
+	if len(r.m.heard) != 1 || !strings.HasPrefix(r.m.heard[0], fmt.Sprintf("ended %d", contact.Unsent)) || r.e.Counts.Barred != 1 {
+		t.Errorf("rule 3: heard %v, barred %d", r.m.heard, r.e.Counts.Barred)
+	}
+	for _, p := range r.out {
+		if p.to == switchA && strings.HasPrefix(p.data, "INVITE") {
+			t.Error("sent to a pool that drains")
+		}
+	}
+	r.list(contact.Ready)
+	r.get(caller, callerSays("INVITE", "b1", ""))
+	r.sent(caller, "SIP/2.0 503")
+}
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -42,6 +42,10 @@
 	trunk   *leg   // whose ring is out or stands
 	overdue *clock.Timer
 	rang    bool    // the caller was told that it rings
+	offered bool    // the module has it
+	from    float64 // its patience counts from here
+	expires float64 // what the caller said of its patience, 0: nothing
+	route   routing
 	clear   float64 // rule 5: no send before this
 }
 
@@ -67,25 +71,33 @@
 		s.Respond(signal.Response(req, 400, "Missing Contact", e.names.Next()))
 		return
 	}
-	patience := skill.Patience
-	if w := signal.Wait(signal.Field(req, "Expires")); w > 0 && w < patience {
-		patience = w
-	}
-	c := &contact.Contact{Skill: skill, Customer: e.payers[req.From().Address.Host], Number: user, Came: e.now,
-		Until: e.since() + patience - e.cfg.Margin, HomeNumber: -1}
+	c := &contact.Contact{Skill: skill, Customer: e.payers[req.From().Address.Host], Number: user, Came: e.now, HomeNumber: -1}
 	if g := e.byName[param(params, "tgrp")]; g != nil {
 		c.HomeNumber = g.Pool
 	}
-	c.Home = e.pools.Home(c.HomeNumber)
 	k := &call{Call: host.Call{Contact: c}, edge: e, req: req, server: s, session: signal.Session(req),
-		payer: req.From().Address.Host}
+		payer: req.From().Address.Host, from: e.since(), expires: signal.Wait(signal.Field(req, "Expires"))}
 	c.ID, s.User = k, k
+	k.patience()
 	if k.session == "" {
 		k.session = e.session()
 	}
+	if e.table != nil && !k.analyse(user, params) {
+		return
+	}
+	c.Home = e.pools.Home(c.HomeNumber)
 	e.waiting = append(e.waiting, k)
 }
 
+// patience is how long the caller of a contact of its skill waits, no longer than it says itself.
+func (k *call) patience() {
+	p := k.Skill.Patience
+	if k.expires > 0 {
+		p = min(p, k.expires)
+	}
+	k.Until = k.from + p - k.edge.cfg.Margin
+}
+
 // param is a parameter of a telephone number in a user part (RFC 3261 19.1.6, RFC 4904).
 func param(params, name string) string {
 	for p := range strings.SplitSeq(params, ";") {
@@ -117,6 +129,7 @@
 	}
 	e.Counts.Turned++
 	k.Over = true
+	k.letGo()
 	e.refusals.Add(e.now, key(k.req))
 	k.server.Refuse(e.busy(k.req))
 }
@@ -131,10 +144,26 @@
 		k.answer(signal.Response(k.req, 503, "Service Unavailable", k.tag))
 		return
 	}
-	e.mod.Offered(e.now, k.Contact)
-	if k.Over {
+	if k.route.waits != "" {
+		k.watch()
+		k.lookUp()
 		return
 	}
+	k.offer()
+	if !k.Over && !k.Stands {
+		k.watch()
+	}
+}
+
+// offer hands a contact whose route is known to the module.
+func (k *call) offer() {
+	k.offered = true
+	k.edge.mod.Offered(k.edge.now, k.Contact)
+}
+
+// watch sees to it that the caller hears something soon, and has its answer whatever happens.
+func (k *call) watch() {
+	e := k.edge
 	k.overdue = e.timers.Set(e.now+trying, func() {
 		if !k.rang {
 			k.server.Respond(signal.Response(k.req, 100, "Trying", ""))
@@ -158,12 +187,14 @@
 	e := k.edge
 	e.held--
 	e.timers.Stop(k.overdue)
+	k.letGo()
 	if res.StatusCode >= 300 {
 		k.Over = true
 	}
 	k.server.Respond(res)
 	if e.OnFate != nil {
-		e.OnFate(Fate{Session: k.session, Skill: k.Skill.Name, Answer: res.StatusCode, Rings: k.Rings(), Took: e.now - k.Came})
+		e.OnFate(Fate{Session: k.session, Skill: k.Skill.Name, Answer: res.StatusCode, Rings: k.Rings(), Took: e.now - k.Came,
+			Table: k.route.version, Route: k.route.name})
 	}
 	if k.Over && k.trunk != nil {
 		k.trunk.cancel()
@@ -203,13 +234,16 @@
 		return
 	}
 	e.Counts.Left++
-	if k.tag == "" { // not offered yet
+	if k.tag == "" { // not taken yet
 		k.Over = true
+		k.letGo()
 		s.Respond(signal.Response(k.req, 487, "Request Terminated", e.names.Next()))
 		return
 	}
 	k.answer(signal.Response(k.req, 487, "Request Terminated", k.tag))
-	e.mod.Left(e.now, k.Contact)
+	if k.offered {
+		e.mod.Left(e.now, k.Contact)
+	}
 }
 
 // Acked implements signal.User.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -12,6 +12,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/emiago/sipgo/sip"
 
@@ -19,6 +20,7 @@
 	"cobaltpier/contact"
 	"cobaltpier/host"
 	"cobaltpier/intake"
+	"cobaltpier/number"
 	"cobaltpier/signal"
 )
 
@@ -40,6 +42,14 @@
 	out  int    // in use by this gateway
 }
 
+// Lookup finds out where numbers were ported to, for tables that ask.
+type Lookup interface {
+	// Ask calls done once within the time given in ms, maybe at once; stop takes the question back.
+	Ask(now float64, digits string, within float64, done func(now float64, what number.Answer, routing string)) (stop func())
+	Wake(now float64)
+	Next() float64
+}
+
 // Config is what an edge is told at start.
 type Config struct {
 	Name    string // unique among the gateways; in tags and call ids
@@ -52,6 +62,10 @@
 	Margin  float64 // ms: final answers leave so long before the caller's patience ends
 	Gate    intake.Gate
 	Parse   func([]byte) (sip.Message, error) // nil: signal.Parse
+	Table   *number.Table                     // what becomes of numbers; nil: callers name skill and trunk group themselves
+	Look    Lookup                            // nil: no question has an answer
+	Share   float64                           // of what is left of a contact's patience: the most that a look-up may use
+	Epoch   time.Time                         // the wall clock when this edge's clock stood at 0, for times of day
 	Off     [6]bool                           // guards that are switched off, by rule: only to show that the checker sees what they prevent
 }
 
@@ -67,6 +81,7 @@
 // Counts are what an edge has seen since its start.
 type Counts struct {
 	Taken, Turned, Stood, Deferred, Abandoned, Left, Rings, Overdue, Barred uint64
+	Asked, Unrouted                                                         uint64 // of numbers: look-ups, refused by the table
 }
 
 // Fate is the end of a contact, for logs.
@@ -76,6 +91,8 @@
 	Answer  int // the final answer's code
 	Rings   int
 	Took    float64 // ms from its coming to its final answer
+	Table   uint64  // version of the table that it was analysed by, 0: none
+	Route   string  // its name, "": none
 }
 
 // Edge is one gateway.
@@ -100,6 +117,9 @@
 	refusals intake.Refusals
 	held     int // contacts without a final answer
 	standing int
+	table    *number.Table
+	tables   map[*number.Table]int // contacts without a final answer that carry it
+	drawn    uint64
 	closing  bool
 	now      float64
 	looked   float64 // when the latest batch ended, 0: none yet
@@ -122,7 +142,7 @@
 func New(cfg *Config, mk host.Maker, out Out) *Edge {
 	e := &Edge{cfg: cfg, out: out, pools: host.NewPools[string](), addrs: map[*contact.Pool]netip.AddrPort{},
 		groups: map[int]*Group{}, byName: map[string]*Group{}, skills: map[string]*contact.Skill{},
-		payers: map[string]*contact.Customer{}, ends: map[string]*end{}}
+		payers: map[string]*contact.Customer{}, ends: map[string]*end{}, table: cfg.Table, tables: map[*number.Table]int{}}
 	h := fnv.New64a()
 	h.Write([]byte(cfg.Name))
 	e.names.Seed = cfg.Set.Seed ^ h.Sum64()
@@ -194,6 +214,9 @@
 	e.now, e.sip.Now = now, now
 	defer func() { e.looked = now }()
 	e.timers.Run(now)
+	if e.cfg.Look != nil {
+		e.cfg.Look.Wake(now)
+	}
 	if len(e.waiting) == 0 {
 		return
 	}
@@ -217,7 +240,11 @@
 	if len(e.waiting) > 0 {
 		return e.now
 	}
-	return math.Min(e.timers.Next(), math.Max(e.looked, e.now)+beat)
+	at := math.Min(e.timers.Next(), math.Max(e.looked, e.now)+beat)
+	if e.cfg.Look != nil {
+		at = math.Min(at, e.cfg.Look.Next())
+	}
+	return at
 }
 
 // Close lets no new contact in; those held go on.
--- a/edge/trunk.go
+++ b/edge/trunk.go
@@ -42,7 +42,7 @@
 	g.out++
 	k.trunk = l
 	l.req = sip.NewRequest(sip.INVITE, sip.Uri{Scheme: "sip", Host: to.Addr().String(), Port: int(to.Port()),
-		User: k.Number + ";tgrp=" + g.Name + ";trunk-context=" + e.cfg.Context})
+		User: k.Number + k.route.params + ";tgrp=" + g.Name + ";trunk-context=" + e.cfg.Context})
 	e.common(l.req, &sip.FromHeader{Address: sip.Uri{Scheme: "sip", User: "anonymous", Host: k.payer},
 		Params: sip.HeaderParams{{K: "tag", V: tag}}},
 		&sip.ToHeader{Address: sip.Uri{Scheme: "sip", User: k.Number, Host: to.Addr().String(), Port: int(to.Port())}}, id, 1)
--- a/labcmd/number.go
+++ b/labcmd/number.go
@@ -35,7 +35,7 @@
 					return fmt.Errorf("--at: %w", err)
 				}
 			}
-			a, o := t.Begin(args[1], now, draw, false, true)
+			a, o := t.Begin(number.Call{Dialled: args[1], At: now, Draw: draw, Explain: true})
 			if o.Ask != "" {
 				what := number.NotPorted
 				switch {
--- a/number/number.go
+++ b/number/number.go
@@ -91,7 +91,9 @@
 	Skill    string // "": what the caller asked for
 	Customer string // "": the caller's
 	Group    string // trunk group of the destination (RFC 4904)
-	Number   string // what is sent on
+	Number   string // the number called, as it is sent on
+	Routing  string // the routing number that stands for it, "": portability was not looked up or it is not ported
+	Looked   bool   // portability was looked up (RFC 4694 npdi)
 }
 
 // Outcome is what an analysis came to, or waits for; one of them is set.
@@ -116,11 +118,13 @@
 type Analysis struct {
 	Table  *Table
 	Steps  []string // what was done and why, where Explain is set
-	number string
+	number string   // what rules look at: the number called, or the routing number that stands for it
+	called string   // set once a routing number stands for it
 	at     time.Time
 	draw   float64
 	now    action
 	asked  *question
+	silent bool // it had no answer
 	looked bool // portability is looked up once only (RFC 4694 npdi)
 	steps  int
 	text   bool
@@ -160,17 +164,35 @@
 	return n, nil
 }
 
-// Begin starts the analysis of a number at a time, with a number from 0 to 1 drawn for weights; npdi: portability was
-// looked up already. The first outcome comes with it.
-func (t *Table) Begin(dialled string, at time.Time, draw float64, npdi, explain bool) (*Analysis, Outcome) {
-	a := &Analysis{Table: t, at: at, draw: draw, looked: npdi, text: explain, now: action{plan: t.entry}}
-	n, err := Normal(dialled, t.Country)
+// Call is what is known of a number when its analysis begins.
+type Call struct {
+	Dialled string
+	Looked  bool   // portability was looked up by somebody before us (RFC 4694 npdi)
+	Routing string // the routing number that was found then, "": none
+	At      time.Time
+	Draw    float64 // 0 to 1, drawn for weights
+	Explain bool    // keep the steps
+}
+
+// Begin starts the analysis of a number. The first outcome comes with it.
+func (t *Table) Begin(c Call) (*Analysis, Outcome) {
+	a := &Analysis{Table: t, at: c.At, draw: c.Draw, looked: c.Looked, text: c.Explain, now: action{plan: t.entry}}
+	n, err := Normal(c.Dialled, t.Country)
 	if err != nil {
 		a.say("%v", err)
 		return a, Outcome{Refusal: &Refusal{484, err.Error()}}
 	}
 	a.number = n
-	a.say("%q is %s", dialled, n)
+	a.say("%q is %s", c.Dialled, n)
+	if c.Looked && c.Routing != "" {
+		rn, err := Normal(c.Routing, t.Country)
+		if err != nil {
+			a.say("routing number: %v", err)
+			return a, Outcome{Refusal: &Refusal{484, "routing " + err.Error()}}
+		}
+		a.called, a.number = n, rn
+		a.say("its routing number is %s", rn)
+	}
 	return a, a.run()
 }
 
@@ -187,7 +209,7 @@
 			what = Silent
 			a.say("routing number: %v", err)
 		} else {
-			a.number = n
+			a.called, a.number = a.number, n
 		}
 	}
 	switch what {
@@ -199,6 +221,7 @@
 		a.now = q.same
 	default:
 		a.say("no answer")
+		a.silent = true
 		a.now = q.silent
 	}
 	return a.run()
@@ -264,7 +287,10 @@
 
 // take chooses among a route's trunk groups by their weights.
 func (a *Analysis) take(r *route) *Route {
-	out := &Route{Name: r.name, Skill: r.skill, Customer: r.customer, Number: "+" + a.number}
+	out := &Route{Name: r.name, Skill: r.skill, Customer: r.customer, Number: "+" + a.number, Looked: a.looked && !a.silent}
+	if a.called != "" {
+		out.Number, out.Routing = "+"+a.called, "+"+a.number
+	}
 	u := a.draw * r.total
 	for _, c := range r.choices {
 		out.Group = c.group
