Number tables: a compact form, differences, overlaps and names that do not fit

Need: tables of a million prefixes, and changes that one can look at before they count.

HCL and the compact form (protobuf) go through one compiler; prefixes that do the same share their rules; packed prefixes; Diff goes by what tables do; ranges that overlap in part are refused; Fits says what a gateway lacks.

--- a/edge/analysis_test.go
+++ b/edge/analysis_test.go
@@ -65,7 +65,7 @@
 `
 
 func numbers(t *testing.T, version int) *number.Table {
-	x, err := number.Parse("t.hcl", []byte(fmt.Sprintf(tableText, version, version, 700+version, 700+version)))
+	x, _, err := number.Parse("t.hcl", []byte(fmt.Sprintf(tableText, version, version, 700+version, 700+version)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/labcmd/number.go
+++ b/labcmd/number.go
@@ -13,7 +13,7 @@
 	c := &cobra.Command{Use: "number", Short: "Check number tables, and explain what becomes of a number"}
 	c.AddCommand(&cobra.Command{Use: "check TABLE.hcl", Short: "Compile a table and say what is wrong with it, with file and line", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			t, err := number.Load(args[0])
+			t, _, err := number.Load(args[0])
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "%s: table %s, version %d, sum %s, %d rules: fine\n", args[0], t.Name, t.Version, t.Sum, t.Size())
 			}
@@ -25,7 +25,7 @@
 	x := &cobra.Command{Use: "explain TABLE.hcl NUMBER", Short: "Print each step of a number's analysis and why", Args: cobra.ExactArgs(2),
 		Example: "  cobalt-lab number explain staff.hcl +14185551234 --at 2026-12-03T14:00:00-05:00 --ported +15145559999",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			t, err := number.Load(args[0])
+			t, _, err := number.Load(args[0])
 			if err != nil {
 				return err
 			}
--- /dev/null
+++ b/number/diff.go
@@ -0,0 +1,153 @@
+package number
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"cobaltpier/api"
+)
+
+// Change is one difference between two tables.
+type Change struct {
+	What string // "+": new, "-": gone, "~": it does something else
+	Of   string // what: rule, route, period, days, plan, table
+	Name string
+	From string // what it did, "" if it is new
+	To   string
+}
+
+// String is a change on a line.
+func (c Change) String() string {
+	switch c.What {
+	case "+":
+		return fmt.Sprintf("+ %s %s: %s", c.Of, c.Name, c.To)
+	case "-":
+		return fmt.Sprintf("- %s %s: %s", c.Of, c.Name, c.From)
+	}
+	return fmt.Sprintf("~ %s %s: %s, was %s", c.Of, c.Name, c.To, c.From)
+}
+
+// Diff tells what changes between two tables, by what they do and not by how they are written: a range is the prefixes
+// that it stands for, and where a rule was written does not matter.
+func Diff(a, b *api.NumberTable) []Change {
+	out := pairs("table", []said{{"country", a.Country}, {"entry", a.Entry}}, []said{{"country", b.Country}, {"entry", b.Entry}})
+	days := func(t *api.NumberTable) (of []said) {
+		for _, d := range t.Days {
+			of = append(of, said{d.Name, strings.Join(d.Dates, " ")})
+		}
+		return
+	}
+	periods := func(t *api.NumberTable) (of []said) {
+		for _, p := range t.Periods {
+			names := make([]string, len(p.Weekdays))
+			for i, d := range p.Weekdays {
+				names[i] = weekdays[((d%7)+7)%7]
+			}
+			of = append(of, said{p.Name, strings.TrimSpace(fmt.Sprintf("%s %02d:%02d-%02d:%02d %s except %v only %v", strings.Join(names, ","), p.From/60, p.From%60, p.To/60,
+				p.To%60, p.Zone, p.Except, p.Only))})
+		}
+		return
+	}
+	routes := func(t *api.NumberTable) (of []said) {
+		for _, r := range t.Routes {
+			s := []string{}
+			for _, c := range r.Choices {
+				s = append(s, fmt.Sprintf("%s %v", c.Group, c.Weight))
+			}
+			of = append(of, said{r.Name, fmt.Sprintf("skill %q customer %q groups %s", r.Skill, r.Customer, strings.Join(s, ", "))})
+		}
+		return
+	}
+	rules := func(t *api.NumberTable) (of []said) {
+		for _, p := range t.Plans {
+			of = append(of, rulesOf(p)...)
+		}
+		return
+	}
+	out = append(out, pairs("days", days(a), days(b))...)
+	out = append(out, pairs("period", periods(a), periods(b))...)
+	out = append(out, pairs("route", routes(a), routes(b))...)
+	return append(out, pairs("rule", rules(a), rules(b))...)
+}
+
+// said is a thing of a table with all that is to be said of it.
+type said struct{ name, text string }
+
+// rulesOf are a plan's prefixes, each with all that its rules do.
+func rulesOf(p *api.NumberPlan) []said {
+	type part struct {
+		prefix, text string
+		order        int
+	}
+	var all []part
+	for i, k := range p.Rules {
+		prefixes, _, err := prefixesOf(k)
+		if err != nil { // told when it is compiled
+			prefixes = []string{k.Prefix}
+		}
+		text := ""
+		if k.When != "" {
+			text = "when " + k.When + " "
+		}
+		if k.Strip > 0 || k.Add != "" {
+			text += fmt.Sprintf("strip %d add %q ", k.Strip, k.Add)
+		}
+		text += does(k.Then)
+		for _, d := range prefixes {
+			all = append(all, part{d, text, i})
+		}
+	}
+	slices.SortFunc(all, func(a, b part) int { return cmp.Or(strings.Compare(a.prefix, b.prefix), cmp.Compare(a.order, b.order)) })
+	var of []said
+	for i := 0; i < len(all); {
+		j := i + 1
+		text := all[i].text
+		for ; j < len(all) && all[j].prefix == all[i].prefix; j++ {
+			text += "; " + all[j].text
+		}
+		of = append(of, said{p.Name + "/" + all[i].prefix, text})
+		i = j
+	}
+	return of
+}
+
+func does(a *api.NumberAction) string {
+	switch do := a.GetDo().(type) {
+	case *api.NumberAction_Plan:
+		return "plan " + do.Plan
+	case *api.NumberAction_Route:
+		return "route " + do.Route
+	case *api.NumberAction_Refuse:
+		return fmt.Sprintf("refuse %d %s", do.Refuse.GetCode(), do.Refuse.GetWhy())
+	case *api.NumberAction_Ask:
+		q := do.Ask
+		return fmt.Sprintf("portability within %v ms: ported %s, same %s, silent %s", q.GetWithinMs(), does(q.GetPorted()), does(q.GetSame()), does(q.GetSilent()))
+	}
+	return "nothing"
+}
+
+// pairs compares things by their names.
+func pairs(of string, a, b []said) []Change {
+	byName := func(x, y said) int { return strings.Compare(x.name, y.name) }
+	slices.SortStableFunc(a, byName)
+	slices.SortStableFunc(b, byName)
+	var out []Change
+	for len(a) > 0 || len(b) > 0 {
+		switch {
+		case len(b) == 0 || len(a) > 0 && a[0].name < b[0].name:
+			out = append(out, Change{"-", of, a[0].name, a[0].text, ""})
+			a = a[1:]
+		case len(a) == 0 || b[0].name < a[0].name:
+			out = append(out, Change{"+", of, b[0].name, "", b[0].text})
+			b = b[1:]
+		default:
+			if a[0].text != b[0].text {
+				out = append(out, Change{"~", of, a[0].name, a[0].text, b[0].text})
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/number/form_test.go
@@ -0,0 +1,197 @@
+package number
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"cobaltpier/api"
+)
+
+func form(t *testing.T) *api.NumberTable {
+	t.Helper()
+	_, f, err := Parse("t.hcl", []byte(table))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// A table that went through its compact form decides as before, and has the same checksum.
+func TestCompactForm(t *testing.T) {
+	x, f, err := Parse("t.hcl", []byte(table))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := Pack(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := Unpack(b)
+	if err != nil || !proto.Equal(f, g) {
+		t.Fatalf("%v\n%v", err, g)
+	}
+	y, err := Compile(g)
+	if err != nil || x.Sum != y.Sum || len(x.Sum) != 64 || x.Size() != y.Size() {
+		t.Fatalf("%v, %s %s", err, x.Sum, y.Sum)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		c := Call{Dialled: rapid.SampledFrom([]string{"+1418", "+1514", "+1", "0", "+33"}).Draw(t, "prefix") + rapid.StringMatching(`[0-9]{0,9}`).Draw(t, "rest"),
+			At: time.Unix(rapid.Int64Range(1.7e9, 1.9e9).Draw(t, "at"), 0), Draw: rapid.Float64Range(0, 0.999).Draw(t, "draw"), Explain: true}
+		a, o := x.Begin(c)
+		b, p := y.Begin(c)
+		if result(o) != result(p) || !slices.Equal(a.Steps, b.Steps) {
+			t.Fatalf("%v: %s, %s", c, result(o), result(p))
+		}
+	})
+}
+
+// Faults of the compact form are told with their place, and damage is an error.
+func TestCompactFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*api.NumberTable)
+		want   string
+	}{
+		"no such route": {func(f *api.NumberTable) { f.Plans[0].Rules[4].Then.Do = &api.NumberAction_Route{Route: "x"} }, `t.hcl:57: route: no route "x"`},
+		"no action":     {func(f *api.NumberTable) { f.Plans[0].Rules[4].Then = nil }, "a rule without an action"},
+		"empty action":  {func(f *api.NumberTable) { f.Plans[0].Rules[4].Then = &api.NumberAction{} }, "a rule without an action"},
+		"question":      {func(f *api.NumberTable) { f.Plans[1].Rules[0].Then.GetAsk().Silent = nil }, "want ported, same and silent"},
+		"question twice": {func(f *api.NumberTable) {
+			q := f.Plans[1].Rules[0].Then
+			q.GetAsk().Same = proto.Clone(q).(*api.NumberAction)
+		}, "asked for in what follows"},
+		"no time":         {func(f *api.NumberTable) { f.Plans[1].Rules[0].Then.GetAsk().WithinMs = 0 }, "within: want 1 to 60000"},
+		"bad day":         {func(f *api.NumberTable) { f.Days[0].Dates[0] = "Christmas" }, `days "holidays": dates: want days`},
+		"bad weekday":     {func(f *api.NumberTable) { f.Periods[0].Weekdays[0] = 7 }, `period "thursday": days: want 0 to 6`},
+		"bad minute":      {func(f *api.NumberTable) { f.Periods[0].To = 1440 }, "want minutes of a day"},
+		"bad zone":        {func(f *api.NumberTable) { f.Periods[0].Zone = "Mars" }, `no time zone "Mars"`},
+		"bad weight":      {func(f *api.NumberTable) { f.Routes[0].Choices[0].Weight = -1 }, `group "TG-0": want a weight`},
+		"no groups":       {func(f *api.NumberTable) { f.Routes[0].Choices = nil }, `want at least one group`},
+		"bad code":        {func(f *api.NumberTable) { f.Plans[0].Rules[2].Then.GetRefuse().Code = 200 }, "code: want 400 to 699"},
+		"bad add":         {func(f *api.NumberTable) { f.Plans[0].Rules[0].Add = "x" }, "add: want"},
+		"bad strip":       {func(f *api.NumberTable) { f.Plans[0].Rules[0].Strip = -1 }, "strip: want 0 to"},
+		"bad prefix":      {func(f *api.NumberTable) { f.Plans[0].Rules[0].Prefix = "1x" }, "want a prefix of digits"},
+		"long prefix":     {func(f *api.NumberTable) { f.Plans[0].Rules[0].Prefix = strings.Repeat("1", 41) }, "want a prefix of digits"},
+		"damaged packing": {func(f *api.NumberTable) { f.Plans[0].Rules[0].Packed = []byte{0, 3, 0x1f, 0} }, "packed prefixes: damaged after 0"},
+		"out of order":    {func(f *api.NumberTable) { f.Plans[0].Rules[0].Packed = []byte{0, 1, 0x20, 0, 1, 0x10} }, "out of order after 1"},
+		"twice":           {func(f *api.NumberTable) { f.Routes = append(f.Routes, f.Routes[0]) }, `route "rosters" stands here twice`},
+		"no UTF-8":        {func(f *api.NumberTable) { f.Name = "\xff" }, "UTF-8"},
+		"overlap": {func(f *api.NumberTable) {
+			r := proto.Clone(f.Plans[0].Rules[2]).(*api.NumberRule)
+			r.Prefix = "14185550100-14185550299"
+			f.Plans[0].Rules = append(f.Plans[0].Rules, r)
+		}, "range 14185550100-14185550299 overlaps 14185550000-14185550199 t.hcl:49 in part"},
+		"long way": {func(f *api.NumberTable) {
+			for i := range 40 {
+				f.Plans = append(f.Plans, &api.NumberPlan{Name: fmt.Sprint("p", i), Rules: []*api.NumberRule{{Then: &api.NumberAction{Do: &api.NumberAction_Plan{Plan: fmt.Sprint("p", i+1)}}}}})
+			}
+			f.Plans = append(f.Plans, &api.NumberPlan{Name: "p40", Rules: []*api.NumberRule{{Then: &api.NumberAction{Do: &api.NumberAction_Route{Route: "night"}}}}})
+			f.Plans[0].Rules[4].Then.Do = &api.NumberAction_Plan{Plan: "p0"}
+		}, "plans in a row are too many"},
+	} {
+		f := form(t)
+		c.change(f)
+		if _, err := Compile(f); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v\nwant %s", name, err, c.want)
+		}
+	}
+	b, _ := Pack(form(t))
+	for _, bad := range [][]byte{nil, []byte("plan {}"), b[:len(b)-3], append([]byte(magic), 0xff, 0xff)} {
+		if _, err := Unpack(bad); err == nil {
+			t.Errorf("%.20q was read", bad)
+		}
+	}
+	x, err := Compile(form(t))
+	if err != nil || x.Fits(Names{Groups: []string{"TG-0", "TG-1", "TG-2"}, Skills: []string{"shift-lookup"}}).Error() !=
+		`number table staff: names what this gateway does not have: trunk group "TG-3"` {
+		t.Errorf("%v, %v", err, x.Fits(Names{}))
+	}
+	if err := x.Fits(x.Names()); err != nil {
+		t.Error(err)
+	}
+}
+
+// Any set of prefixes comes out of its packing as it went in, sorted; and a trie of them finds what a walk over all finds.
+func TestPacked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		of := rapid.SliceOfDistinct(rapid.StringMatching(`[0-4]{1,6}|[0-9]{1,40}`), rapid.ID[string]).Draw(t, "prefixes")
+		b, err := PackPrefixes(of)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := unpackPrefixes(b)
+		slices.Sort(of)
+		if err != nil || !slices.Equal(got, of) {
+			t.Fatalf("%v: %v", err, got)
+		}
+	})
+	for _, bad := range [][]string{{"1", "1"}, {""}, {"a"}, {strings.Repeat("1", 41)}} {
+		if _, err := PackPrefixes(bad); err == nil {
+			t.Errorf("%q were packed", bad)
+		}
+	}
+}
+
+func TestDiff(t *testing.T) {
+	a, b := form(t), form(t)
+	if d := Diff(a, b); len(d) != 0 {
+		t.Fatalf("the same: %v", d)
+	}
+	b.Version, b.Plans[0].Rules[0].Where = 9, "elsewhere"
+	b.Plans[0].Rules[2].Prefix = "14185550000-14185550099" // the second hundred of a range of two
+	b.Plans[0].Rules[4].Then.Do = &api.NumberAction_Route{Route: "ported"}
+	b.Routes[1].Choices[0].Weight = 2
+	b.Periods = b.Periods[:2]
+	b.Days[0].Dates = append(b.Days[0].Dates, "2026-12-26")
+	b.Plans[0].Rules = append(b.Plans[0].Rules, &api.NumberRule{Prefix: "33", Then: &api.NumberAction{Do: &api.NumberAction_Route{Route: "night"}}})
+	var got []string
+	for _, c := range Diff(a, b) {
+		got = append(got, c.String())
+	}
+	want := []string{
+		`~ days holidays: 2026-12-25 2026-12-26, was 2026-12-25`,
+		`- period small-hours: 01:30-02:30 America/Toronto except [] only []`,
+		`~ route night: skill "" customer "" groups TG-2 2, was skill "" customer "" groups TG-2 1`,
+		`~ rule start/1: route ported, was route night`,
+		`- rule start/141855501: refuse 410 not in service`,
+		`+ rule start/33: route night`}
+	if !slices.Equal(got, want) {
+		t.Errorf("got\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+// Damage of a compact form is found, or does no harm.
+func FuzzUnpack(f *testing.F) {
+	_, x, err := Parse("t.hcl", []byte(table))
+	if err != nil {
+		f.Fatal(err)
+	}
+	b, _ := Pack(x)
+	f.Add(b, "+14185551234")
+	x.Plans[0].Rules[0].Packed, _ = PackPrefixes([]string{"1418", "1419", "14195"})
+	b, _ = Pack(x)
+	f.Add(b, "+14195")
+	f.Fuzz(func(t *testing.T, b []byte, dialled string) {
+		x, err := Unpack(b)
+		if err != nil {
+			return
+		}
+		y, err := Compile(x)
+		if err != nil {
+			return
+		}
+		a, o := y.Begin(Call{Dialled: dialled, At: time.Unix(1.8e9, 0), Draw: 0.5, Explain: true})
+		if o.Ask != "" {
+			o = a.Answered(Ported, "+1514")
+		}
+		if (o.Route == nil) == (o.Refusal == nil) {
+			t.Errorf("%q: %+v", dialled, o)
+		}
+		Diff(x, x)
+	})
+}
--- a/number/number.go
+++ b/number/number.go
@@ -24,12 +24,14 @@
 type Table struct {
 	Name    string
 	Version uint64
-	Sum     string // of what it was made from
+	Sum     string // of its compact form, SHA-256 in hex
 	Country string // digits that a national number gets in front
-	entry   *plan
-	plans   map[string]*plan
-	routes  map[string]*route
-	size    int
+	// Warnings are of what does no harm but was hardly meant.
+	Warnings []string
+	entry    *plan
+	plans    map[string]*plan
+	routes   map[string]*route
+	size     int
 }
 
 // Size is the number of its rules.
@@ -42,12 +44,11 @@
 }
 
 type rule struct {
-	prefix string
-	when   *Period // nil: always
-	strip  int
-	add    string
-	then   action
-	line   string // where it stands, for explanations
+	when  *Period // nil: always
+	strip int
+	add   string
+	then  action
+	line  string // where it stands, for explanations
 }
 
 // action is what a rule does; one of them is set.
@@ -271,12 +272,13 @@
 			return false
 		}
 		for _, r := range p.sets[v] {
+			prefix := a.number[:length]
 			if r.when != nil && !r.when.Holds(a.at) {
-				a.say("plan %s, prefix %s (%s): not now, %s", p.name, r.prefix, r.line, r.when.Name)
+				a.say("plan %s, prefix %s (%s): not now, %s", p.name, prefix, r.line, r.when.Name)
 				continue
 			}
 			a.number = r.add + a.number[min(r.strip, len(a.number)):]
-			a.say("plan %s, prefix %s (%s): %s", p.name, r.prefix, r.line, a.number)
+			a.say("plan %s, prefix %s (%s): %s", p.name, prefix, r.line, a.number)
 			a.now = r.then
 			return len(a.number) <= mostDigits
 		}
--- a/number/number_test.go
+++ b/number/number_test.go
@@ -98,7 +98,7 @@
 
 func parse(t *testing.T) *Table {
 	t.Helper()
-	x, err := Parse("t.hcl", []byte(table))
+	x, _, err := Parse("t.hcl", []byte(table))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -232,7 +232,7 @@
 		if text == table {
 			t.Fatalf("%q is not in the table", c.from)
 		}
-		if _, err := Parse("t.hcl", []byte(text)); err == nil || !strings.Contains(err.Error(), c.want) {
+		if _, _, err := Parse("t.hcl", []byte(text)); err == nil || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%.40q: %v\nwant %s", c.to, err, c.want)
 		}
 	}
@@ -243,7 +243,7 @@
 	f.Add(table, "+14185551234")
 	f.Add("plan \"start\" {\n rule \"\" {\n add = \"1\"\n plan = \"start\"\n }\n}", "1")
 	f.Fuzz(func(t *testing.T, text, dialled string) {
-		x, err := Parse("f", []byte(text))
+		x, _, err := Parse("f", []byte(text))
 		if err != nil {
 			return
 		}
