Number tables change in a running gateway: checked, kept, swapped, gone back from

Need: tables must change in service without dropping a contact, survive a restart, and a bad one must change nothing.

Test on real sockets: portability over TCP, a bad table refused, swap, restart, back.

--- a/edgecmd/edgecmd.go
+++ b/edgecmd/edgecmd.go
@@ -21,6 +21,7 @@
 	"cobaltpier/gateway"
 	"cobaltpier/host"
 	"cobaltpier/lab/baseline"
+	"cobaltpier/numbercmd"
 	"cobaltpier/settings"
 )
 
@@ -35,7 +36,7 @@
 
 Signals: SIGTERM or SIGINT drains (no new contact, all held ones answered, status 0); a second one ends it at once
 (status 1).`, SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(run(), check())
+	root.AddCommand(run(), check(), numbercmd.New())
 	return root
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,11 +33,13 @@
 const origin = 1e9
 
 type event struct {
-	kind kind
-	from netip.AddrPort
-	data []byte
-	list *api.Update
-	at   time.Time
+	kind  kind
+	from  netip.AddrPort
+	local netip.AddrPort // answer: the port that it came to
+	data  []byte
+	list  *api.Update
+	at    time.Time
+	do    func(now float64) // call
 }
 
 type kind int
@@ -46,6 +48,8 @@
 	sip kind = iota
 	peer
 	list
+	answer
+	call
 )
 
 // Gateway is a running edge.
@@ -58,6 +62,8 @@
 	start   time.Time
 	lost    uint64 // datagrams that found the queue full
 	out     []reactor.Packet
+	numbers *numbers
+	ended   <-chan struct{}
 }
 
 // Run runs an edge until ctx's parent says so: the first value on stop lets it drain, the second ends it at once.
@@ -74,7 +80,22 @@
 		return Forced, fmt.Errorf("gateway %s: %w", set.Name, err)
 	}
 	defer sockets.Close()
-	g.sockets = sockets
+	g.sockets, g.ended = sockets, ctx.Done()
+	if set.Numbers.On() {
+		n, err := g.openNumbers()
+		if err != nil {
+			return Forced, fmt.Errorf("gateway %s: %w", set.Name, err)
+		}
+		defer n.close()
+		g.numbers, set.Table = n, n.first
+		set.Epoch = g.start.Add(-time.Duration(origin * float64(time.Millisecond)))
+		if n.client != nil {
+			set.Look = n
+		}
+		if err := n.serve(ctx, log); err != nil {
+			return Forced, fmt.Errorf("gateway %s: %w", set.Name, err)
+		}
+	}
 	g.edge = edge.New(&set.Config, mk, g)
 	if log.GetLevel() <= zerolog.DebugLevel {
 		g.edge.OnFate = func(f edge.Fate) {
@@ -108,7 +129,7 @@
 	c := g.edge.Counts
 	log.Info().Uint64("taken", c.Taken).Uint64("stood", c.Stood).Uint64("deferred", c.Deferred).Uint64("abandoned", c.Abandoned).
 		Uint64("turned", c.Turned).Uint64("rings", c.Rings).Uint64("overdue", c.Overdue).Uint64("barred", c.Barred).
-		Uint64("queue_lost", g.lost).Uint64("send_lost", sockets.Lost.Load()).Bool("drained", out == Drained).Msg("gateway ended")
+		Uint64("asked", c.Asked).Uint64("unrouted", c.Unrouted).Uint64("queue_lost", g.lost).Uint64("send_lost", sockets.Lost.Load()).Bool("drained", out == Drained).Msg("gateway ended")
 	return out, nil
 }
 
@@ -125,6 +146,14 @@
 	}
 }
 
+// post hands an event to the loop, which may have ended.
+func (g *Gateway) post(e event) {
+	select {
+	case g.events <- e:
+	case <-g.ended:
+	}
+}
+
 // Send implements edge.Out.
 func (g *Gateway) Send(to netip.AddrPort, data []byte) {
 	g.out = append(g.out, reactor.Packet{To: to, Data: data})
@@ -229,6 +258,10 @@
 		if len(e.data) > 2 {
 			g.edge.Peer(now, int(binary.BigEndian.Uint16(e.data)), e.data[2:])
 		}
+	case answer:
+		g.numbers.answered(now, e)
+	case call:
+		e.do(now)
 	case list:
 		g.edge.Listed(now, listing.Members(e.list, origin+float64(e.at.Sub(g.start))/1e6), e.list.Whole)
 	}
--- /dev/null
+++ b/gateway/numbers.go
@@ -0,0 +1,358 @@
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"cobaltpier/api"
+	"cobaltpier/number"
+	"cobaltpier/ported"
+	"cobaltpier/reactor"
+	"cobaltpier/resolve"
+	"cobaltpier/settings"
+	"cobaltpier/tables"
+)
+
+// numbers drives what concerns numbers: the resolver's sockets, the store and the changes of tables. Its state is the
+// loop's; work that takes time runs beside it and comes back as an event.
+type numbers struct {
+	g       *Gateway
+	set     *settings.Numbers
+	has     number.Names
+	store   *tables.Store
+	keeper  *tables.Keeper
+	first   *number.Table
+	client  *resolve.Client
+	finder  *ported.Finder
+	sockets *reactor.Sockets
+	ports   []netip.AddrPort
+	streams chan struct{} // bounds those open at once
+}
+
+// mostStreams are open at once: a truncated answer for each name would else open as many as there are names.
+const mostStreams = 64
+
+// openNumbers finds the table that runs and opens the resolver's sockets.
+func (g *Gateway) openNumbers() (*numbers, error) {
+	set := &g.set.Numbers
+	n := &numbers{g: g, set: set, streams: make(chan struct{}, mostStreams)}
+	for _, k := range g.set.Set.Skills {
+		n.has.Skills = append(n.has.Skills, k.Name)
+	}
+	for _, c := range g.set.Set.Customers {
+		n.has.Customers = append(n.has.Customers, c.Name)
+	}
+	for _, x := range g.set.Groups {
+		n.has.Groups = append(n.has.Groups, x.Name)
+	}
+	var serial uint64
+	var before []uint64
+	if set.Store != "" {
+		s, err := tables.Open(set.Store)
+		if err != nil {
+			return nil, err
+		}
+		n.store = s
+		var problems []error
+		n.first, serial, before, problems = s.Recover(n.has)
+		for _, p := range problems {
+			g.log.Error().Err(p).Msg("a kept number table is passed over")
+		}
+	}
+	if n.first == nil && set.Table != "" {
+		t, form, err := number.Load(set.Table)
+		if err == nil {
+			err = t.Fits(n.has)
+		}
+		if err == nil && n.store != nil {
+			var b []byte
+			if b, err = number.Pack(form); err == nil {
+				serial, err = n.store.Keep(tables.Checked{Table: t, Form: b}, "from "+set.Table, 0, time.Now())
+			}
+		}
+		if err != nil {
+			n.close()
+			return nil, err
+		}
+		n.first = t
+	}
+	if n.first == nil {
+		n.close()
+		return nil, errors.New("numbers: no table: the store has none that can be used, and settings name none")
+	}
+	n.keeper = tables.New(n, n.first, serial, before)
+	g.log.Info().Str("table", n.first.Name).Uint64("version", n.first.Version).Str("sum", n.first.Sum[:16]).Int("rules", n.first.Size()).Msg("number table")
+	if set.Apex == "" {
+		return n, nil
+	}
+	var seed [8]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		n.close()
+		return nil, fmt.Errorf("numbers: a seed that nobody knows: %w", err)
+	}
+	cfg := set.Resolve
+	cfg.Seed = binary.LittleEndian.Uint64(seed[:])
+	addrs := make([]netip.AddrPort, cfg.Ports)
+	for i := range addrs {
+		addrs[i] = netip.AddrPortFrom(g.set.Self.Addr(), 0)
+	}
+	var err error
+	ready := make(chan struct{})
+	n.sockets, err = reactor.Listen(addrs, 1, func(local, from netip.AddrPort, data []byte) {
+		<-ready
+		select {
+		case g.events <- event{kind: answer, from: from, local: local, data: data}:
+		default: // lost, as on the way
+		}
+	})
+	if err != nil {
+		n.close()
+		return nil, fmt.Errorf("numbers: ports for look-ups: %w", err)
+	}
+	n.ports = n.sockets.Local()
+	close(ready)
+	n.client = resolve.New(cfg, n)
+	n.finder = &ported.Finder{Asker: n.client, Apex: set.Apex, Services: set.Services}
+	return n, nil
+}
+
+func (n *numbers) close() {
+	if n.sockets != nil {
+		n.sockets.Close()
+	}
+	if n.store != nil {
+		if err := n.store.Close(); err != nil {
+			n.g.log.Error().Err(err).Msg("number tables")
+		}
+	}
+}
+
+// Ask implements edge.Lookup.
+func (n *numbers) Ask(now float64, digits string, within float64, done func(float64, number.Answer, string)) func() {
+	return n.finder.Ask(now, digits, within, done)
+}
+
+// Wake implements edge.Lookup.
+func (n *numbers) Wake(now float64) { n.client.Wake(now) }
+
+// Next implements edge.Lookup.
+func (n *numbers) Next() float64 { return n.client.Next() }
+
+// answered takes a datagram of the resolver's ports.
+func (n *numbers) answered(now float64, e event) {
+	for i, p := range n.ports {
+		if p == e.local {
+			n.client.Receive(now, i, e.from, e.data)
+			return
+		}
+	}
+}
+
+// Query implements resolve.Out.
+func (n *numbers) Query(port int, to netip.AddrPort, data []byte) {
+	n.sockets.Send(n.ports[port], to, data)
+}
+
+// Stream implements resolve.Out (RFC 1035 4.2.2): truncated answers are rare, so a goroutine for each will do.
+func (n *numbers) Stream(token uint64, to netip.AddrPort, data []byte, within float64) {
+	select {
+	case n.streams <- struct{}{}:
+	default:
+		go n.g.post(event{kind: call, do: func(now float64) { n.client.Streamed(now, token, nil) }}) // this is the loop itself
+		return
+	}
+	go func() {
+		defer func() { <-n.streams }()
+		b, err := overTCP(to, data, time.Duration(within*1e6))
+		if err != nil {
+			n.g.log.Debug().Err(err).Stringer("server", to).Msg("look-up by stream")
+			b = nil
+		}
+		n.g.post(event{kind: call, do: func(now float64) { n.client.Streamed(now, token, b) }})
+	}()
+}
+
+func overTCP(to netip.AddrPort, data []byte, within time.Duration) ([]byte, error) {
+	c, err := net.DialTimeout("tcp", to.String(), within)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(within)); err != nil {
+		return nil, err
+	}
+	if _, err := c.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(data))), data...)); err != nil {
+		return nil, err
+	}
+	var size [2]byte
+	if _, err := io.ReadFull(c, size[:]); err != nil {
+		return nil, err
+	}
+	b := make([]byte, binary.BigEndian.Uint16(size[:]))
+	_, err = io.ReadFull(c, b)
+	return b, err
+}
+
+// Check implements tables.Work: beside the loop, for a large table takes longer than a tick.
+func (n *numbers) Check(s tables.Source) {
+	go func() {
+		var c tables.Checked
+		form := s.Form
+		if form == nil {
+			form, c.Err = n.store.Form(s.Serial)
+		}
+		if c.Err == nil {
+			c = tables.Check(form, n.has)
+		}
+		n.g.post(event{kind: call, do: func(float64) { n.keeper.Checked(c) }})
+	}()
+}
+
+// Keep implements tables.Work.
+func (n *numbers) Keep(c tables.Checked, note string, serial uint64) {
+	if n.store == nil {
+		n.keeper.Kept(n.keeper.Serial+1, nil)
+		return
+	}
+	go func() {
+		got, err := n.store.Keep(c, note, serial, time.Now())
+		n.g.post(event{kind: call, do: func(float64) { n.keeper.Kept(got, err) }})
+	}()
+}
+
+// Swap implements tables.Work.
+func (n *numbers) Swap(t *number.Table) {
+	n.g.edge.Use(t)
+	n.g.log.Info().Str("table", t.Name).Uint64("version", t.Version).Str("sum", t.Sum[:16]).Int("rules", t.Size()).Msg("number table changed")
+}
+
+// admin is the service that changes tables.
+type admin struct {
+	api.UnimplementedNumbersServer
+	n   *numbers
+	ctx context.Context // ends with the gateway
+}
+
+// in runs something in the loop and waits for its word.
+func (a *admin) in(ctx context.Context, do func(done func(error))) error {
+	said := make(chan error, 1)
+	select {
+	case a.n.g.events <- event{kind: call, do: func(float64) { do(func(err error) { said <- err }) }}:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-a.ctx.Done():
+		return status.Error(codes.Unavailable, "the gateway ends")
+	}
+	select {
+	case err := <-said:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-a.ctx.Done():
+		return status.Error(codes.Unavailable, "the gateway ends")
+	}
+}
+
+// Put implements the service.
+func (a *admin) Put(ctx context.Context, req *api.PutTable) (*api.TableState, error) {
+	if err := a.in(ctx, func(done func(error)) { a.n.keeper.Put(req.Table, req.Note, done) }); err != nil {
+		return nil, refused(err)
+	}
+	return a.state(ctx)
+}
+
+// Back implements the service.
+func (a *admin) Back(ctx context.Context, _ *api.BackRequest) (*api.TableState, error) {
+	if a.n.store == nil {
+		return nil, status.Error(codes.FailedPrecondition, "numbers: without a store nothing is kept to go back to")
+	}
+	if err := a.in(ctx, func(done func(error)) { a.n.keeper.Back(done) }); err != nil {
+		return nil, refused(err)
+	}
+	return a.state(ctx)
+}
+
+func refused(err error) error {
+	if status.Code(err) != codes.Unknown {
+		return err
+	}
+	return status.Error(codes.FailedPrecondition, err.Error())
+}
+
+// Show implements the service.
+func (a *admin) Show(ctx context.Context, _ *api.ShowRequest) (*api.TableState, error) {
+	return a.state(ctx)
+}
+
+func (a *admin) state(ctx context.Context) (*api.TableState, error) {
+	s := &api.TableState{}
+	err := a.in(ctx, func(done func(error)) {
+		k := a.n.keeper
+		t := k.Running
+		s.Running = &api.KeptTable{Serial: k.Serial, Name: t.Name, Version: t.Version, Sum: t.Sum, Rules: int64(t.Size())}
+		old, n := a.n.g.edge.Tables()
+		s.OldTables, s.OldContacts = int32(old), int32(n)
+		done(nil)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if a.n.store != nil {
+		if s.Kept, err = a.n.store.List(); err != nil {
+			return nil, status.Error(codes.DataLoss, err.Error())
+		}
+	}
+	return s, nil
+}
+
+// Explain implements the service.
+func (a *admin) Explain(ctx context.Context, req *api.ExplainRequest) (*api.Explained, error) {
+	var t *number.Table
+	if err := a.in(ctx, func(done func(error)) { t = a.n.keeper.Running; done(nil) }); err != nil {
+		return nil, err
+	}
+	at := time.Now()
+	if req.AtUnix != 0 {
+		at = time.Unix(req.AtUnix, 0)
+	}
+	return &api.Explained{Steps: t.Explain(number.Call{Dialled: req.Number, At: at}, req.Ported, req.Silent), Sum: t.Sum}, nil
+}
+
+// serve offers the service until ctx ends.
+func (n *numbers) serve(ctx context.Context, log zerolog.Logger) error {
+	if n.set.Admin == "" {
+		return nil
+	}
+	lis, err := net.Listen("tcp", n.set.Admin)
+	if err != nil {
+		return fmt.Errorf("numbers: admin: %w", err)
+	}
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(mostTable))
+	api.RegisterNumbersServer(s, &admin{n: n, ctx: ctx})
+	go func() {
+		<-ctx.Done()
+		s.Stop()
+	}()
+	go func() {
+		if err := s.Serve(lis); err != nil && ctx.Err() == nil {
+			log.Error().Err(err).Msg("numbers: admin")
+		}
+	}()
+	log.Info().Str("addr", lis.Addr().String()).Msg("number tables are changed here")
+	return nil
+}
+
+// mostTable is the largest table taken over the wire, in octets.
+const mostTable = 256 << 20
--- /dev/null
+++ b/gateway/numbers_test.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"cobaltpier/api"
+	"cobaltpier/lab/names"
+	"cobaltpier/number"
+	"cobaltpier/settings"
+)
+
+const numberTable = `
+name    = "t"
+version = %d
+route "r" {
+  group %q {
+  }
+}
+plan "start" {
+  rule "1418" {
+    add = "%d"
+    strip = 1
+    portability {
+      ported {
+        route = "r"
+      }
+      same {
+        refuse = "not ported"
+      }
+      silent {
+        refuse = "no answer"
+        code   = 504
+      }
+    }
+  }
+}
+`
+
+// TestNumbers runs a gateway with number tables on real sockets: portability by DNS, over TCP where the datagram is
+// truncated; tables put in service, refused, gone back from, and found again after a restart.
+func TestNumbers(t *testing.T) {
+	now := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, now) })
+	k, list := start(t)
+	sw, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.72.0.19:19062")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sw.Close()
+	who, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.72.0.18:19062")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer who.Close()
+	zone := &names.Zone{Apex: "e164.test.", Seed: 1, Ported: 1, TTL: 60, Routes: []string{"+15145550000"}}
+	server, err := names.Serve(&names.Server{Zone: zone, Faults: names.Faults{Cut: 1}}, netip.MustParseAddrPort("127.72.0.20:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	dir := t.TempDir()
+	table := func(version int, group string) string {
+		f := filepath.Join(dir, fmt.Sprintf("t%d%s.hcl", version, group))
+		if err := os.WriteFile(f, []byte(fmt.Sprintf(numberTable, version, group, 70+version)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return f
+	}
+	form := func(file string) []byte {
+		_, x, err := number.Load(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := number.Pack(x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	admin := "127.72.0.11:19092"
+	read := func() *settings.Edge {
+		s, err := settings.Parse("test", []byte(fmt.Sprintf(`
+gateway {
+  name = "e"
+  sip = "127.72.0.11:19062"
+  peer = "127.72.0.11:19072"
+  trunk_context = "x.example"
+  drain_within = "0s"
+}
+list {
+  addr = %q
+}
+rules {
+  clear_wait = "500ms"
+  cold_share = 0.36
+  warm_within = "14s"
+  tip_multiple = 2.5
+  tip_time = "1s"
+}
+skill "shift-lookup" {
+  target = "2s"
+  patience = "9s"
+}
+group "TG-0" {
+  pool = 0
+  size = 100
+}
+numbers {
+  table = %q
+  store = %q
+  admin = %q
+}
+enum {
+  apex = "e164.test"
+  servers = [%q]
+}
+`, list, table(1, "TG-0"), filepath.Join(dir, "store"), admin, server.Addr())))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	stop, over := make(chan struct{}, 4), make(chan end, 1)
+	run := func() {
+		k.send <- &api.Update{Version: 3, Whole: true, Members: []*api.Member{{Id: "m", State: api.State_READY, AgeMs: -1, Addr: "127.72.0.19:19062"}}}
+		go func() {
+			out, err := Run(context.Background(), read(), mind, zerolog.Nop(), stop)
+			over <- end{out, err}
+		}()
+	}
+	calls := 0
+	// call dials until a call that begins so reaches the switch
+	call := func(begins string) {
+		t.Helper()
+		for range 60 {
+			calls++
+			id := fmt.Sprint("n", calls)
+			who.WriteToUDPAddrPort([]byte(strings.ReplaceAll("INVITE sip:+1418555"+id[1:]+"@127.72.0.11 SIP/2.0\nVia: SIP/2.0/UDP 127.72.0.18:19062;rport;branch=z9hG4bK"+id+
+				"\nFrom: <sip:a@b>;tag="+id+"\nTo: <sip:c@d>\nCall-ID: "+id+"\nCSeq: 1 INVITE\nContact: <sip:127.72.0.18:19062>\nExpires: 1\nContent-Length: 0\n\n", "\n", "\r\n")),
+				netip.MustParseAddrPort("127.72.0.11:19062"))
+			if _, _, ok := within(sw, 300*time.Millisecond, "INVITE "+begins, ";npdi;rn=+15145550000;"); ok {
+				return
+			}
+		}
+		t.Fatalf("no call %s reaches the switch", begins)
+	}
+	run()
+	call("sip:+71418555")
+	conn, err := grpc.NewClient(admin, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	c, ctx := api.NewNumbersClient(conn), context.Background()
+	if _, err := c.Put(ctx, &api.PutTable{Table: form(table(2, "TG-9"))}); err == nil || !strings.Contains(err.Error(), `trunk group "TG-9"`) {
+		t.Errorf("a bad table: %v", err)
+	}
+	call("sip:+71418555")
+	s, err := c.Put(ctx, &api.PutTable{Table: form(table(2, "TG-0")), Note: "two"})
+	if err != nil || s.Running.Version != 2 || len(s.Kept) != 2 || s.Kept[0].Note != "two" {
+		t.Fatalf("%v, %v", s, err)
+	}
+	call("sip:+72418555")
+	e, err := c.Explain(ctx, &api.ExplainRequest{Number: "+14185550000", Ported: "+1514"})
+	if err != nil || !strings.Contains(strings.Join(e.Steps, "\n"), "ported: 1514") {
+		t.Errorf("%v, %v", e, err)
+	}
+	stop <- struct{}{}
+	if e := <-over; e.err != nil || e.out != Drained {
+		t.Fatalf("ended %v, %v", e.out, e.err)
+	}
+	run() // what the store says to run runs, whatever the settings' table is
+	call("sip:+72418555")
+	if s, err = c.Back(ctx, &api.BackRequest{}, grpc.WaitForReady(true)); err != nil || s.Running.Version != 1 {
+		t.Fatalf("%v, %v", s, err)
+	}
+	call("sip:+71418555")
+	if _, err = c.Back(ctx, &api.BackRequest{}); err == nil || !strings.Contains(err.Error(), "no table before") {
+		t.Errorf("back from the first: %v", err)
+	}
+	server.Change(func(s *names.Server) { s.Faults = names.Faults{Silent: true} })
+	who.WriteToUDPAddrPort([]byte(strings.ReplaceAll("INVITE sip:+14189999999@127.72.0.11 SIP/2.0\nVia: SIP/2.0/UDP 127.72.0.18:19062;rport;branch=z9hG4bKlast"+
+		"\nFrom: <sip:a@b>;tag=l\nTo: <sip:c@d>\nCall-ID: last\nCSeq: 1 INVITE\nContact: <sip:127.72.0.18:19062>\nExpires: 9\nContent-Length: 0\n\n", "\n", "\r\n")),
+		netip.MustParseAddrPort("127.72.0.11:19062"))
+	if _, _, ok := within(who, 10*time.Second, "SIP/2.0 504 no answer", "Call-ID: last"); !ok {
+		t.Error("a look-up without an answer does not end as the table says")
+	}
+	stop <- struct{}{}
+	if e := <-over; e.err != nil || e.out != Drained {
+		t.Errorf("ended %v, %v", e.out, e.err)
+	}
+}
--- /dev/null
+++ b/lab/names/serve.go
@@ -0,0 +1,104 @@
+package names
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Served is a server behind real sockets, UDP and TCP of one address.
+type Served struct {
+	mu  sync.Mutex
+	s   *Server
+	udp *net.UDPConn
+	tcp *net.TCPListener
+	wg  sync.WaitGroup
+}
+
+// Serve puts a server behind the sockets of an address; port 0: any.
+func Serve(s *Server, at netip.AddrPort) (*Served, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("names: %w", err)
+	}
+	at = udp.LocalAddr().(*net.UDPAddr).AddrPort()
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	if err != nil {
+		udp.Close()
+		return nil, fmt.Errorf("names: %w", err)
+	}
+	v := &Served{s: s, udp: udp, tcp: tcp}
+	v.wg.Add(2)
+	go v.datagrams()
+	go v.streams()
+	return v, nil
+}
+
+// Addr is where it is.
+func (v *Served) Addr() netip.AddrPort { return v.udp.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Change changes the server's faults, or anything else of it.
+func (v *Served) Change(do func(*Server)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	do(v.s)
+}
+
+// Close closes the sockets and waits until nothing more is sent.
+func (v *Served) Close() {
+	v.udp.Close()
+	v.tcp.Close()
+	v.wg.Wait()
+}
+
+func (v *Served) datagrams() {
+	defer v.wg.Done()
+	b := make([]byte, 1<<16)
+	for {
+		n, from, err := v.udp.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		v.mu.Lock()
+		out := v.s.Datagram(b[:n])
+		v.mu.Unlock()
+		for _, r := range out {
+			time.AfterFunc(time.Duration(r.After*1e6), func() { v.udp.WriteToUDPAddrPort(r.Data, from) })
+		}
+	}
+}
+
+func (v *Served) streams() {
+	defer v.wg.Done()
+	for {
+		c, err := v.tcp.AcceptTCP()
+		if err != nil {
+			return
+		}
+		v.wg.Add(1)
+		go func() {
+			defer v.wg.Done()
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(5 * time.Second))
+			var size [2]byte
+			if _, err := io.ReadFull(c, size[:]); err != nil {
+				return
+			}
+			b := make([]byte, binary.BigEndian.Uint16(size[:]))
+			if _, err := io.ReadFull(c, b); err != nil {
+				return
+			}
+			v.mu.Lock()
+			out := v.s.Stream(b)
+			v.mu.Unlock()
+			for _, r := range out {
+				time.Sleep(time.Duration(r.After * 1e6))
+				c.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(r.Data))), r.Data...))
+			}
+		}()
+	}
+}
--- a/number/number.go
+++ b/number/number.go
@@ -339,3 +339,21 @@
 	}
 	return p.anyDays || p.Days[t.Weekday()]
 }
+
+// Explain tells each step of a number's analysis and why; portability's answer is the routing number given, silence, or
+// that it is not ported.
+func (t *Table) Explain(c Call, routing string, silent bool) []string {
+	c.Explain = true
+	a, o := t.Begin(c)
+	if o.Ask != "" {
+		switch {
+		case routing != "":
+			a.Answered(Ported, routing)
+		case silent:
+			a.Answered(Silent, "")
+		default:
+			a.Answered(NotPorted, "")
+		}
+	}
+	return a.Steps
+}
--- /dev/null
+++ b/numbercmd/numbercmd.go
@@ -0,0 +1,327 @@
+// Package numbercmd is the command line of number tables, which both programs have.
+package numbercmd
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"cobaltpier/api"
+	"cobaltpier/number"
+)
+
+// ErrDiffer says that two tables do different things.
+var ErrDiffer = errors.New("the tables differ")
+
+// New is the command.
+func New() *cobra.Command {
+	c := &cobra.Command{Use: "number", Short: "Number tables: check, explain, compare, and change them in service",
+		Long: `A number table says what becomes of a number that was dialled: see docs/numbers.md for its form.
+
+Tables are written in HCL. Large ones are kept in a compact form, which every command here reads as well: "import" adds
+prefixes of a CSV file to a table, "compile" makes the compact form. "put", "back" and "show" talk to a gateway that runs,
+at the address that its settings have as numbers.admin.`}
+	c.AddCommand(check(), explain(), compile(), diff(), importCSV(), put(), back(), show())
+	return c
+}
+
+func check() *cobra.Command {
+	return &cobra.Command{Use: "check TABLE", Short: "Compile a table and say what is wrong with it, with file and line", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			t, _, err := number.Load(args[0])
+			if err != nil {
+				return err
+			}
+			for _, w := range t.Warnings {
+				fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: %s\n", args[0], w)
+			}
+			n := t.Names()
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: table %s, version %d, sum %s, %d prefixes: fine\n  needs skills %v, customers %v, groups %v\n", args[0],
+				t.Name, t.Version, t.Sum[:16], t.Size(), n.Skills, n.Customers, n.Groups)
+			return nil
+		}}
+}
+
+func explain() *cobra.Command {
+	var at, ported, to string
+	var draw float64
+	var silent bool
+	x := &cobra.Command{Use: "explain [TABLE] NUMBER", Short: "Print each step of a number's analysis and why", Args: cobra.RangeArgs(1, 2),
+		Example: `  cobalt-lab number explain staff.hcl +14185551234 --at 2026-12-03T14:00:00-05:00 --ported +15145559999
+  cobalt-edge number explain +14185551234 --to 127.0.0.1:5090`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			now := time.Now()
+			var err error
+			if at != "" {
+				if now, err = time.Parse(time.RFC3339, at); err != nil {
+					return fmt.Errorf("--at: %w", err)
+				}
+			}
+			var steps []string
+			switch {
+			case to != "" && len(args) == 1:
+				err = dial(cmd.Context(), to, func(ctx context.Context, c api.NumbersClient) error {
+					e, err := c.Explain(ctx, &api.ExplainRequest{Number: args[0], AtUnix: now.Unix(), Ported: ported, Silent: silent})
+					steps = e.GetSteps()
+					return err
+				})
+			case to == "" && len(args) == 2:
+				var t *number.Table
+				if t, _, err = number.Load(args[0]); err == nil {
+					steps = t.Explain(number.Call{Dialled: args[1], At: now, Draw: draw}, ported, silent)
+				}
+			default:
+				err = errors.New("want a table and a number, or a number and --to")
+			}
+			for _, s := range steps {
+				fmt.Fprintln(cmd.OutOrStdout(), s)
+			}
+			return err
+		}}
+	x.Flags().StringVar(&at, "at", "", "time, such as 2026-12-03T14:00:00-05:00; empty: now")
+	x.Flags().Float64Var(&draw, "draw", 0, "0 to 1, for weights")
+	x.Flags().StringVar(&ported, "ported", "", "portability's answer: this routing number; empty: not ported")
+	x.Flags().BoolVar(&silent, "silent", false, "portability does not answer")
+	x.Flags().StringVar(&to, "to", "", "ask a gateway that runs, at this address")
+	return x
+}
+
+func compile() *cobra.Command {
+	var out string
+	c := &cobra.Command{Use: "compile TABLE.hcl --out FILE", Short: "Check a table and write its compact form", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, form, err := number.Load(args[0])
+			if err != nil {
+				return err
+			}
+			return write(cmd.OutOrStdout(), out, form)
+		}}
+	c.Flags().StringVarP(&out, "out", "o", "", "the compact form's file")
+	c.MarkFlagRequired("out")
+	return c
+}
+
+func write(w io.Writer, file string, form *api.NumberTable) error {
+	b, err := number.Pack(form)
+	if err != nil {
+		return err
+	}
+	if strings.HasSuffix(file, ".hcl") {
+		return fmt.Errorf("%s: the compact form must not end in .hcl", file)
+	}
+	tmp := file + ".new"
+	if err := os.WriteFile(tmp, b, 0o644); err != nil {
+		return fmt.Errorf("number table: %w", err)
+	}
+	if err := os.Rename(tmp, file); err != nil { // no half file is left under the name
+		return fmt.Errorf("number table: %w", err)
+	}
+	fmt.Fprintf(w, "%s: %d octets\n", file, len(b))
+	return nil
+}
+
+func diff() *cobra.Command {
+	var most int
+	c := &cobra.Command{Use: "diff OLD NEW", Short: "Say what changes between two tables, by what they do", Args: cobra.ExactArgs(2),
+		Long: "Says what changes between two tables, by what they do and not by how they are written. Status 0: nothing; 1: something.",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var of [2]*api.NumberTable
+			for i, a := range args {
+				_, form, err := number.Load(a)
+				if err != nil {
+					return err
+				}
+				of[i] = form
+			}
+			changes := number.Diff(of[0], of[1])
+			for i, x := range changes {
+				if i == most {
+					fmt.Fprintf(cmd.OutOrStdout(), "and %d more\n", len(changes)-most)
+					break
+				}
+				fmt.Fprintln(cmd.OutOrStdout(), x)
+			}
+			if len(changes) > 0 {
+				return ErrDiffer
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&most, "most", 200, "print no more than so many")
+	return c
+}
+
+func importCSV() *cobra.Command {
+	var out, plan string
+	c := &cobra.Command{Use: "import TABLE PREFIXES.csv --plan PLAN --out FILE", Short: "Add prefixes of a CSV file, one \"prefix,route\" a line, to a plan",
+		Args: cobra.ExactArgs(2), Example: "  cobalt-lab number import staff.hcl ranges.csv --plan exchanges --out staff.table",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var form *api.NumberTable
+			src, err := os.ReadFile(args[0])
+			if err != nil {
+				return fmt.Errorf("number table: %w", err)
+			}
+			if strings.HasSuffix(args[0], ".hcl") {
+				_, form, err = number.Parse(args[0], src)
+			} else {
+				form, err = number.Unpack(src)
+			}
+			if err != nil {
+				return err
+			}
+			f, err := os.Open(args[1])
+			if err != nil {
+				return fmt.Errorf("prefixes: %w", err)
+			}
+			defer f.Close()
+			if err := addPrefixes(form, plan, args[1], f); err != nil {
+				return err
+			}
+			if _, err := number.Compile(form); err != nil {
+				return err
+			}
+			return write(cmd.OutOrStdout(), out, form)
+		}}
+	c.Flags().StringVar(&plan, "plan", "start", "the plan that they are added to")
+	c.Flags().StringVarP(&out, "out", "o", "", "the compact form's file")
+	c.MarkFlagRequired("out")
+	return c
+}
+
+// addPrefixes reads "prefix,route" lines and adds one packed rule for each route, in the order of their coming.
+func addPrefixes(form *api.NumberTable, plan, name string, r io.Reader) error {
+	var into *api.NumberPlan
+	for _, p := range form.Plans {
+		if p.Name == plan {
+			into = p
+		}
+	}
+	if into == nil {
+		return fmt.Errorf("%s: no plan %q in the table", name, plan)
+	}
+	of, order := map[string][]string{}, []string{}
+	s := bufio.NewScanner(r)
+	for line := 1; s.Scan(); line++ {
+		text := strings.TrimSpace(s.Text())
+		if text == "" || strings.HasPrefix(text, "#") {
+			continue
+		}
+		prefix, route, ok := strings.Cut(text, ",")
+		prefix, route = strings.TrimPrefix(strings.TrimSpace(prefix), "+"), strings.TrimSpace(route)
+		if !ok || route == "" || prefix == "" || strings.Trim(prefix, "0123456789") != "" {
+			return fmt.Errorf("%s:%d: want \"prefix,route\", got %q", name, line, text)
+		}
+		if of[route] == nil {
+			order = append(order, route)
+		}
+		of[route] = append(of[route], prefix)
+	}
+	if err := s.Err(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	for _, route := range order {
+		packed, err := number.PackPrefixes(of[route])
+		if err != nil {
+			return fmt.Errorf("%s: route %s: %w", name, route, err)
+		}
+		into.Rules = append(into.Rules, &api.NumberRule{Packed: packed, Where: name,
+			Then: &api.NumberAction{Do: &api.NumberAction_Route{Route: route}}})
+	}
+	return nil
+}
+
+func dial(ctx context.Context, to string, do func(context.Context, api.NumbersClient) error) error {
+	conn, err := grpc.NewClient(to, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(256<<20)))
+	if err != nil {
+		return fmt.Errorf("gateway at %s: %w", to, err)
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	if err := do(ctx, api.NewNumbersClient(conn)); err != nil {
+		return fmt.Errorf("gateway at %s: %s", to, status.Convert(err).Message())
+	}
+	return nil
+}
+
+func told(cmd *cobra.Command, s *api.TableState) {
+	r := s.GetRunning()
+	fmt.Fprintf(cmd.OutOrStdout(), "running: %s version %d, number %d, sum %.16s, %d prefixes; %d contacts still carry %d older tables\n", r.GetName(), r.GetVersion(),
+		r.GetSerial(), r.GetSum(), r.GetRules(), s.GetOldContacts(), s.GetOldTables())
+}
+
+func put() *cobra.Command {
+	var to, note string
+	c := &cobra.Command{Use: "put TABLE --to ADDR", Short: "Put a table in service at a gateway that runs", Args: cobra.ExactArgs(1),
+		Long: `Sends a table to a gateway that runs. The gateway compiles and checks it beside the running one, keeps it in its store and
+swaps: new contacts get it, those held keep theirs to their end. A bad table changes nothing, and the answer says why.`,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, form, err := number.Load(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := number.Pack(form)
+			if err != nil {
+				return err
+			}
+			return dial(cmd.Context(), to, func(ctx context.Context, c api.NumbersClient) error {
+				s, err := c.Put(ctx, &api.PutTable{Table: b, Note: note})
+				if err == nil {
+					told(cmd, s)
+				}
+				return err
+			})
+		}}
+	c.Flags().StringVar(&to, "to", "", "the gateway's numbers.admin address")
+	c.Flags().StringVar(&note, "note", "", "kept with the table")
+	c.MarkFlagRequired("to")
+	return c
+}
+
+func back() *cobra.Command {
+	var to string
+	c := &cobra.Command{Use: "back --to ADDR", Short: "Return to the table that ran before the present one", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return dial(cmd.Context(), to, func(ctx context.Context, c api.NumbersClient) error {
+				s, err := c.Back(ctx, &api.BackRequest{})
+				if err == nil {
+					told(cmd, s)
+				}
+				return err
+			})
+		}}
+	c.Flags().StringVar(&to, "to", "", "the gateway's numbers.admin address")
+	c.MarkFlagRequired("to")
+	return c
+}
+
+func show() *cobra.Command {
+	var to string
+	c := &cobra.Command{Use: "show --to ADDR", Short: "Show the running table and those that are kept", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return dial(cmd.Context(), to, func(ctx context.Context, c api.NumbersClient) error {
+				s, err := c.Show(ctx, &api.ShowRequest{})
+				if err != nil {
+					return err
+				}
+				told(cmd, s)
+				for _, k := range s.Kept {
+					fmt.Fprintf(cmd.OutOrStdout(), "%6d  %s  %s version %d, sum %.16s, %d prefixes  %s%s\n", k.Serial, time.Unix(k.AtUnix, 0).UTC().Format(time.DateTime),
+						k.Name, k.Version, k.Sum, k.Rules, k.Note, map[bool]string{true: "  FAULT: " + k.Fault}[k.Fault != ""])
+				}
+				return nil
+			})
+		}}
+	c.Flags().StringVar(&to, "to", "", "the gateway's numbers.admin address")
+	c.MarkFlagRequired("to")
+	return c
+}
--- a/reactor/reactor.go
+++ b/reactor/reactor.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,16 @@
 
 var quiet = sync.OnceFunc(func() { logging.SetLevel(logging.LevelNone) })
 
+// Local is the addresses that are listened on, with the ports that the system chose for port 0.
+func (s *Sockets) Local() []netip.AddrPort {
+	var of []netip.AddrPort
+	for a := range s.out {
+		of = append(of, a)
+	}
+	slices.SortFunc(of, netip.AddrPort.Compare)
+	return of
+}
+
 // Listen opens the addresses. got is called from the pollers, for one address always from the same one; the data is
 // its own. An address that can't be had is an error that names it.
 func Listen(addrs []netip.AddrPort, pollers int, got func(local, from netip.AddrPort, data []byte)) (*Sockets, error) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"cobaltpier/contact"
 	"cobaltpier/edge"
 	"cobaltpier/intake"
+	"cobaltpier/resolve"
 	"cobaltpier/signal"
 )
 
@@ -21,9 +22,23 @@
 	Level       string // of the log
 	Console     bool   // logs for a person, not JSON
 	DrainWithin float64
+	Numbers     Numbers
 	Queue       int // datagrams that may wait for the loop
 }
 
+// Numbers is what an edge is told of its number tables and where it looks numbers up.
+type Numbers struct {
+	Table    string // a file; runs where the store has none yet; "" and no store: callers name skill and group themselves
+	Store    string // a file; "": what is put in service lives as long as the process
+	Admin    string // where gRPC puts tables in service; "": nowhere
+	Resolve  resolve.Config
+	Apex     string // "": nothing is looked up
+	Services []string
+}
+
+// On tells whether the edge analyses numbers.
+func (n *Numbers) On() bool { return n.Table != "" || n.Store != "" }
+
 const day = 24 * 3600 * 1000.0
 
 // Load reads a file.
@@ -134,5 +149,35 @@
 	if len(s.Groups) == 0 {
 		b.Fault("", "want at least one group \"NAME\" { pool = ..., size = ... }")
 	}
+	s.numbers(b)
 	return s, b.Err()
 }
+
+// numbers reads what concerns numbers.
+func (s *Edge) numbers(b *conf.Block) {
+	n, e := b.One("numbers"), b.One("enum")
+	s.Numbers = Numbers{Table: n.Text("table", ""), Store: n.Text("store", ""), Admin: n.Text("admin", ""),
+		Apex: e.Text("apex", ""), Services: e.Texts("services")}
+	s.Share = n.Num("lookup_share", 0.3, 0, 1)
+	if len(s.Numbers.Services) == 0 {
+		s.Numbers.Services = []string{"pstn:tel"}
+	}
+	r := resolve.Config{Ports: e.Int("ports", 8, 1, 64), Most: e.Int("most", 1000, 1, 1<<20), Tries: e.Int("tries", 4, 1, 20),
+		StaleAfter: e.Ms("stale_after", 200, 0, day)}
+	r.Cache = resolve.CacheTimes{Most: e.Int("keep", 100000, 1, 1<<24), Least: e.Ms("least", 1000, 0, day), Longest: e.Ms("longest", day, 0, 7*day),
+		Negative: e.Ms("negative", 900e3, 0, day), Stale: e.Ms("stale", 3600e3, 0, 7*day), Fail: e.Ms("fail", 2000, 0, 300e3)}
+	for _, a := range e.Texts("servers") {
+		x, err := netip.ParseAddrPort(a)
+		if err != nil {
+			e.Fault("servers", "servers: want addresses such as \"127.0.0.1:5353\", got %q", a)
+		}
+		r.Servers = append(r.Servers, x)
+	}
+	if (s.Numbers.Apex == "") != (len(r.Servers) == 0) {
+		e.Fault("servers", "enum: want apex and servers, or neither")
+	}
+	if s.Numbers.Apex != "" && !s.Numbers.On() {
+		n.Fault("", "enum: want numbers { table = ... } that asks for something")
+	}
+	s.Numbers.Resolve = r
+}
