--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -22,6 +22,7 @@
 	"cobaltpier/lab/baseline"
 	"cobaltpier/lab/script"
 	"cobaltpier/lab/stage"
+	"cobaltpier/resolve"
 	"cobaltpier/signal"
 )
 
@@ -49,6 +50,8 @@
 	Findings []check.Finding
 	Totals   check.Totals
 	Series   *Series
+	Tables   *check.Tables // nil: no number tables
+	LookUps  resolve.Counts
 	Sum      uint64
 	Spent    time.Duration
 }
@@ -70,6 +73,10 @@
 	begin := time.Now()
 	k := check.New()
 	k.Keep = o.Series
+	var tables *check.Tables
+	if s.Analyses() {
+		tables = check.NewTables(stage.Mark4)
+	}
 	res := &Result{}
 	var ser *seriesTap
 	if o.Series {
@@ -77,6 +84,9 @@
 	}
 	st := stage.New(s, 5060, func(r *api.Record) {
 		k.Add(r)
+		if tables != nil {
+			tables.Add(r)
+		}
 		if ser != nil {
 			ser.add(r)
 		}
@@ -93,10 +103,13 @@
 		}
 	})
 	k.Parse = st.Parse
-	stage.NewVirtual(st, mk)
+	if tables != nil {
+		tables.Parse = st.Parse
+	}
+	v := stage.NewVirtual(st, mk)
 	st.World.Run(s.Length + After)
 	k.Finish()
-	res.Service, res.Findings, res.Totals = st.Service(), k.Findings, k.Totals
+	res.Service, res.Findings, res.Totals, res.Tables, res.LookUps = st.Service(), k.Findings, k.Totals, tables, v.LookUps()
 	if ser != nil {
 		res.Series = ser.done(st, k.Cold)
 	}
--- a/lab/names/names.go
+++ b/lab/names/names.go
@@ -35,6 +35,9 @@
 	return z.Routes[int(z.of(number, 2)*float64(len(z.Routes)))]
 }
 
+// Exists tells whether there is such a number.
+func (z *Zone) Exists(number string) bool { return z.of(number, 1) >= z.None }
+
 func (z *Zone) of(number string, what uint64) float64 {
 	h := z.Seed
 	for i := range len(number) {
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -29,6 +29,7 @@
 	Load     Load
 	Callers  Callers
 	List     List
+	Numbers  Numbers
 	Troubles []Trouble
 	Calls    []*api.Call `json:"-"` // of a trace, in place of Load
 }
@@ -89,6 +90,21 @@
 // List is the pool list's lateness.
 type List struct{ NoticeLo, NoticeHi, SilentLo, SilentHi, AddLo, AddHi, Spread float64 }
 
+// Numbers says whether the gateways analyse numbers, and how the look-ups that their tables ask for are answered.
+type Numbers struct {
+	On                  bool
+	Change              float64 // a new table so often; 0: never
+	Ported, None, Leads float64 // shares of the numbers
+	TTL, Delay, Jitter  float64
+	Servers             int
+	Within, Share       float64 // of a look-up: its time, and the most of a contact's patience
+	Cache, Alone        bool    // answers are kept; questions for one name are not shared
+	Stale               float64 // answers that ran out are served so long
+}
+
+// Analyses tells whether the gateways analyse numbers. Calls of a trace name their trunk groups themselves.
+func (s *Script) Analyses() bool { return s.Numbers.On && len(s.Calls) == 0 }
+
 // Trouble is one thing that goes wrong.
 type Trouble struct {
 	Kind       string
@@ -99,22 +115,29 @@
 
 // Kinds of trouble, and what their part and size mean.
 var Kinds = map[string]string{
-	"burst":    "contacts come size times as often",
-	"uneven":   "a part of the gateways gets the share size of all contacts",
-	"slow":     "a part of the switches runs size times slower",
-	"slow_all": "all switches run size times slower",
-	"other":    "on a part of the switches other work takes the share size of the processor, on and off",
-	"lines":    "the switches of a region keep the share size of their lines",
-	"silent":   "a part of the switches goes silent and comes back cold",
-	"ageing":   "a part of the switches gets slower up to size times, then dies and comes back cold",
-	"deploy":   "a part of the switches drains and is replaced by cold ones, one after the other",
-	"region":   "all switches of a region restart together",
-	"stall":    "a part of the gateways stands still for size seconds, again and again",
-	"restart":  "a part of the gateways is killed and comes back with its last list",
-	"mute":     "messages between gateways are lost",
-	"loss":     "a share size of all datagrams between gateways and switches is lost",
-	"listless": "the pool list says nothing",
-	"flood":    "one gateway gets size times the rated load of all, of the least valuable skill",
+	"burst":         "contacts come size times as often",
+	"uneven":        "a part of the gateways gets the share size of all contacts",
+	"slow":          "a part of the switches runs size times slower",
+	"slow_all":      "all switches run size times slower",
+	"other":         "on a part of the switches other work takes the share size of the processor, on and off",
+	"lines":         "the switches of a region keep the share size of their lines",
+	"silent":        "a part of the switches goes silent and comes back cold",
+	"ageing":        "a part of the switches gets slower up to size times, then dies and comes back cold",
+	"deploy":        "a part of the switches drains and is replaced by cold ones, one after the other",
+	"region":        "all switches of a region restart together",
+	"stall":         "a part of the gateways stands still for size seconds, again and again",
+	"restart":       "a part of the gateways is killed and comes back with its last list",
+	"mute":          "messages between gateways are lost",
+	"loss":          "a share size of all datagrams between gateways and switches is lost",
+	"listless":      "the pool list says nothing",
+	"names_silent":  "a part of the DNS servers never answers",
+	"names_slow":    "a part of the DNS servers answers after size seconds",
+	"names_lossy":   "a part of the DNS servers loses the share size of its answers",
+	"names_spoofed": "before each answer of a part of the DNS servers come size guesses with a lie",
+	"names_cut":     "a part of the DNS servers truncates the share size of its answers",
+	"names_lame":    "a part of the DNS servers refuses",
+	"names_wrong":   "the share size of the answers of a part of the DNS servers has a wrong id",
+	"flood":         "one gateway gets size times the rated load of all, of the least valuable skill",
 }
 
 const day = 24 * 3600 * 1000.0
@@ -183,6 +206,12 @@
 	s.List = List{NoticeLo: d.Ms("notice_least", 700, 0, day), NoticeHi: d.Ms("notice_most", 5000, 0, day),
 		SilentLo: d.Ms("silent_least", 5200, 0, day), SilentHi: d.Ms("silent_most", 13000, 0, day),
 		AddLo: d.Ms("add_least", 900, 0, day), AddHi: d.Ms("add_most", 2400, 0, day), Spread: d.Ms("spread", 300, 0, day)}
+	for _, n := range b.Blocks("numbers", 0) {
+		s.Numbers = Numbers{On: true, Change: n.Ms("change", 0, 0, day), Ported: n.Num("ported", 0.3, 0, 1), None: n.Num("none", 0.05, 0, 1),
+			Leads: n.Num("leads", 0.1, 0, 1), TTL: n.Ms("ttl", 60000, 0, day), Delay: n.Ms("delay", 3, 0, day), Jitter: n.Ms("jitter", 4, 0, day),
+			Servers: n.Int("servers", 2, 1, 50), Within: n.Ms("within", 400, 1, 60000), Share: n.Num("lookup_share", 0.3, 0, 1),
+			Cache: n.Flag("cache", true), Alone: n.Flag("alone", false), Stale: n.Ms("stale", 600e3, 0, day)}
+	}
 	for _, t := range b.Blocks("trouble", 1) {
 		x := Trouble{Kind: t.Labels[0], At: t.Ms("at", conf.Required, 0, day), For: t.Ms("for", 10000, 0, day),
 			Part: t.Num("part", 0.25, 0, 1), Size: t.Num("size", 2, 0, 1000), Region: t.Text("region", "")}
--- a/lab/stage/days/try.hcl
+++ b/lab/stage/days/try.hcl
@@ -36,6 +36,16 @@
   rate = 120
 }
 
+numbers {
+  change = "3s"
+}
+
+trouble "names_silent" {
+  at   = "10s"
+  for  = "5s"
+  part = 0.5
+}
+
 trouble "slow" {
   at   = "3s"
   for  = "4s"
--- /dev/null
+++ b/lab/stage/numbers.go
@@ -0,0 +1,256 @@
+package stage
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+
+	"cobaltpier/api"
+	"cobaltpier/lab/names"
+	"cobaltpier/lab/script"
+	"cobaltpier/number"
+	"cobaltpier/ported"
+	"cobaltpier/resolve"
+)
+
+// Apex is the domain under which a day's portability stands.
+const Apex = "e164.lab."
+
+// Names are a day's stand-ins for DNS servers and its number tables.
+type Names struct {
+	Servers []*names.Server
+	Addrs   []netip.AddrPort
+	Alter   func(i int, do func(*names.Server)) // changes a server; one behind a socket needs a lock
+	Version uint64                              // of the table that is in force
+	tables  map[uint64]*Table
+	Dialled int // contacts' numbers, drawn
+}
+
+// Table is a table in both forms.
+type Table struct {
+	*number.Table
+	Form []byte
+}
+
+// openNames makes the servers; in virtual time they are nodes of the world.
+func (st *Stage) openNames() {
+	s := st.Script.Numbers
+	if !st.Script.Analyses() {
+		return
+	}
+	zone := &names.Zone{Apex: Apex, Seed: st.Script.Seed*31 + 7, Ported: s.Ported, None: s.None, Leads: s.Leads, TTL: uint32(s.TTL / 1000)}
+	for i := range st.Script.Pools.Count {
+		zone.Routes = append(zone.Routes, fmt.Sprintf("+1999%03d0000", i))
+	}
+	st.Names = &Names{Version: 1, tables: map[uint64]*Table{}}
+	n := st.Names
+	n.Alter = func(i int, do func(*names.Server)) { do(n.Servers[i]) }
+	for i := range s.Servers {
+		n.Servers = append(n.Servers, &names.Server{Zone: zone, Seed: st.Script.Seed + uint64(i)*13, Faults: names.Faults{Delay: s.Delay, Jitter: s.Jitter}})
+		n.Addrs = append(n.Addrs, addr(8, i, int(st.Gateways[0].Addr.Port())))
+	}
+	if s.Change > 0 {
+		var next func()
+		next = func() {
+			n.Version++
+			t := st.Table(n.Version)
+			for _, g := range st.Gateways {
+				st.Mark("table-sent", g.Name, strconv.FormatUint(n.Version, 10), nil)
+				st.Fleet.Table(g.Number, t)
+			}
+			if st.World.Now+s.Change < st.Script.Length {
+				st.World.At(st.World.Now+s.Change, next)
+			}
+		}
+		st.World.At(s.Change, next)
+	}
+}
+
+// TableIn notes that a gateway has a table in force.
+func (st *Stage) TableIn(gateway int, version uint64) {
+	st.Mark("table-in", st.Gateways[gateway].Name, strconv.FormatUint(version, 10), nil)
+}
+
+// Mark4 is what a table of a version puts before every number, so that the wire shows which table it was.
+func Mark4(version uint64) string { return strconv.FormatUint(1000+version%9000, 10) }
+
+// Table makes the table of a version: all say the same, but in every step they use a mark of their own, so that a
+// contact that was analysed by parts of two would go nowhere.
+func (st *Stage) Table(version uint64) *Table {
+	if t := st.Names.tables[version]; t != nil {
+		return t
+	}
+	mark := Mark4(version)
+	act := func(plan string) *api.NumberAction { return &api.NumberAction{Do: &api.NumberAction_Plan{Plan: plan}} }
+	exchange := &api.NumberPlan{Name: "exchange"}
+	form := &api.NumberTable{Name: "lab", Version: version, Country: "1", Entry: "start", Plans: []*api.NumberPlan{
+		{Name: "start", Rules: []*api.NumberRule{{Prefix: "1418", Then: &api.NumberAction{Do: &api.NumberAction_Ask{Ask: &api.NumberQuestion{
+			WithinMs: st.Script.Numbers.Within, Ported: act("mark"), Same: act("mark"), Silent: act("mark")}}}}}},
+		{Name: "mark", Rules: []*api.NumberRule{{Add: mark, Then: act("exchange")}}}, exchange}}
+	for i := range st.Script.Pools.Count {
+		name := Group(i)
+		form.Routes = append(form.Routes, &api.NumberRoute{Name: name, Choices: []*api.NumberChoice{{Group: name, Weight: 1}}})
+		for _, prefix := range []string{"1418", "1999"} {
+			exchange.Rules = append(exchange.Rules, &api.NumberRule{Prefix: fmt.Sprintf("%s%s%03d", mark, prefix, i),
+				Then: &api.NumberAction{Do: &api.NumberAction_Route{Route: name}}})
+		}
+	}
+	t, err := number.Compile(form)
+	if err != nil {
+		panic(err) // the text above is wrong
+	}
+	b, err := number.Pack(form)
+	if err != nil {
+		panic(err)
+	}
+	st.Names.tables[version] = &Table{t, b}
+	return st.Names.tables[version]
+}
+
+// dialled is the number that a caller of a destination dials.
+func (st *Stage) dialled(home int, draw float64) string {
+	per := max(1, st.Script.Load.Numbers/len(st.places))
+	return fmt.Sprintf("+1418%03d%05d", home, int(draw*float64(per)))
+}
+
+// Resolve is how the gateways look up.
+func (st *Stage) Resolve(seed uint64) resolve.Config {
+	s := st.Script.Numbers
+	c := resolve.Config{Servers: st.Names.Addrs, Ports: 2, Seed: seed, Most: 1000, Tries: 4, StaleAfter: 100, Alone: s.Alone,
+		Cache: resolve.CacheTimes{Most: 100000, Least: 1000, Longest: 3600e3, Negative: 60e3, Stale: s.Stale, Fail: 2000}}
+	if !s.Cache {
+		c.Cache = resolve.CacheTimes{Most: 1, Fail: 2000}
+	}
+	return c
+}
+
+// namesTrouble puts a trouble of the DNS servers on.
+func (st *Stage) namesTrouble(t script.Trouble, during func(begin, stop func())) {
+	if st.Names == nil {
+		return
+	}
+	n := st.Names
+	some := max(1, int(math.Round(t.Part*float64(len(n.Servers)))))
+	set := func(do func(*names.Faults)) {
+		for i := range min(some, len(n.Servers)) {
+			n.Alter(i, func(s *names.Server) { do(&s.Faults) })
+		}
+	}
+	var begin func(f *names.Faults)
+	switch t.Kind {
+	case "names_silent":
+		begin = func(f *names.Faults) { f.Silent = true }
+	case "names_slow":
+		begin = func(f *names.Faults) { f.Delay = t.Size * 1000 }
+	case "names_lossy":
+		begin = func(f *names.Faults) { f.Loss = t.Size }
+	case "names_spoofed":
+		begin = func(f *names.Faults) { f.Spoof, f.Guesses = 1, int(t.Size) }
+	case "names_cut":
+		begin = func(f *names.Faults) { f.Cut = t.Size }
+	case "names_lame":
+		begin = func(f *names.Faults) { f.Lame = true }
+	case "names_wrong":
+		begin = func(f *names.Faults) { f.WrongID = t.Size }
+	}
+	plain := names.Faults{Delay: st.Script.Numbers.Delay, Jitter: st.Script.Numbers.Jitter}
+	during(func() { set(begin) }, func() { set(func(f *names.Faults) { *f = plain }) })
+}
+
+// lookUps are a gateway's resolver in virtual time: its ports and the servers are reached over the world's wire.
+type lookUps struct {
+	box    *Box
+	client *resolve.Client
+	*ported.Finder
+}
+
+func (b *Box) lookUps() *lookUps {
+	st := b.v.Stage
+	l := &lookUps{box: b}
+	l.client = resolve.New(st.Resolve(st.Script.Seed*97+uint64(b.g.Number)+b.births<<32), l)
+	l.Finder = &ported.Finder{Asker: l.client, Apex: Apex, Services: []string{"pstn:tel"}}
+	return l
+}
+
+// Wake implements edge.Lookup.
+func (l *lookUps) Wake(now float64) { l.client.Wake(now) }
+
+// Next implements edge.Lookup.
+func (l *lookUps) Next() float64 { return l.client.Next() }
+
+// way is one way between a gateway and a DNS server, ms; lost: it does not come.
+func (l *lookUps) way() (delay float64, lost bool) {
+	st := l.box.v.Stage
+	n := st.Script.Net
+	return n.Cross * (1 + n.Jitter*(2*st.names.Chance()-1)), st.names.Chance() < n.Loss+st.loss
+}
+
+// Query implements resolve.Out.
+func (l *lookUps) Query(port int, to netip.AddrPort, data []byte) {
+	st := l.box.v.Stage
+	there, lost := l.way()
+	if lost {
+		return
+	}
+	st.World.At(st.World.Now+there, func() {
+		for i, a := range st.Names.Addrs {
+			if a != to {
+				continue
+			}
+			for _, r := range st.Names.Servers[i].Datagram(data) {
+				if back, lost := l.way(); !lost {
+					st.World.At(st.World.Now+r.After+back, func() {
+						l.box.later(func(now float64) {
+							if l.box.look == l {
+								l.client.Receive(now, port, to, r.Data)
+							}
+						})
+					})
+				}
+			}
+		}
+	})
+}
+
+// Stream implements resolve.Out: a way there and back to begin with, then the question's own.
+func (l *lookUps) Stream(token uint64, to netip.AddrPort, data []byte, within float64) {
+	st := l.box.v.Stage
+	way, _ := l.way()
+	st.World.At(st.World.Now+3*way, func() {
+		for i, a := range st.Names.Addrs {
+			if a != to {
+				continue
+			}
+			for _, r := range st.Names.Servers[i].Stream(data) {
+				st.World.At(st.World.Now+r.After+way, func() {
+					l.box.later(func(now float64) {
+						if l.box.look == l {
+							l.client.Streamed(now, token, r.Data)
+						}
+					})
+				})
+			}
+		}
+	})
+}
+
+// LookUps adds up what the gateways' resolvers have seen, those of processes that were killed left out.
+func (v *Virtual) LookUps() resolve.Counts {
+	var sum resolve.Counts
+	for _, b := range v.Edges {
+		if b.look != nil {
+			sum.Add(&b.look.client.Counts)
+		}
+	}
+	return sum
+}
+
+// Table implements Fleet.
+func (v *Virtual) Table(i int, t *Table) {
+	b := v.Edges[i]
+	b.later(func(now float64) {
+		b.Edge.Use(t.Table)
+		v.Stage.TableIn(i, t.Version)
+	})
+}
--- /dev/null
+++ b/lab/stage/numbers_test.go
@@ -0,0 +1,86 @@
+package stage
+
+import (
+	"testing"
+
+	"cobaltpier/api"
+	"cobaltpier/check"
+	"cobaltpier/lab/script"
+)
+
+// numbersDay plays a short day on which numbers are analysed and tables change every second.
+func numbersDay(t *testing.T, change func(*script.Script)) (*Stage, *Virtual, *check.Checker, *check.Tables) {
+	t.Helper()
+	s, err := Day("numbers", `length="14s"`, "load.rate=200", "gateways.count=4", "pools.count=3")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(s)
+	}
+	k, tables := check.New(), check.NewTables(Mark4)
+	st := New(s, 5060, func(r *api.Record) { k.Add(r); tables.Add(r) })
+	k.Parse, tables.Parse = st.Parse, st.Parse
+	v := NewVirtual(st, mind)
+	st.World.Run(s.Length + 12000)
+	k.Finish()
+	for i, f := range k.Findings {
+		if i < 5 {
+			t.Error(f)
+		}
+	}
+	return st, v, k, tables
+}
+
+// Tables change every second, gateways are killed and stand still, DNS servers fail: each contact is analysed wholly by a
+// table that was in force when it came, all rules are kept, and nobody keeps an old table when the day is over.
+func TestTablesChange(t *testing.T) {
+	st, v, _, tables := numbersDay(t, func(s *script.Script) {
+		s.Troubles = []script.Trouble{{Kind: "restart", At: 4000, For: 1000, Part: 0.25}, {Kind: "stall", At: 6000, For: 3000, Part: 0.5, Size: 0.8},
+			{Kind: "names_silent", At: 8000, For: 3000, Part: 1}, {Kind: "deploy", At: 3000, For: 2000, Part: 0.3}}
+	})
+	for i, f := range tables.Findings {
+		if i < 5 {
+			t.Error(f)
+		}
+	}
+	if tables.Contacts < 2000 || tables.Versions < 13 {
+		t.Errorf("%d contacts, %d tables", tables.Contacts, tables.Versions)
+	}
+	for _, b := range v.Edges {
+		if old, n := b.Tables(); old != 0 || n != 0 {
+			t.Errorf("%s: %d contacts hold %d old tables", b.g.Name, n, old)
+		}
+	}
+	if sv := st.Service(); sv.Whole < 0.9 {
+		t.Errorf("service %.3f", sv.Whole)
+	}
+}
+
+// Each trouble of the DNS servers, all of them at once: callers are served, the rules kept, and what the resolver holds
+// is bounded and let go.
+func TestNamesTroubles(t *testing.T) {
+	for _, c := range []script.Trouble{{Kind: "names_silent"}, {Kind: "names_slow", Size: 2}, {Kind: "names_lossy", Size: 0.6}, {Kind: "names_spoofed", Size: 20},
+		{Kind: "names_cut", Size: 1}, {Kind: "names_lame"}, {Kind: "names_wrong", Size: 1}} {
+		t.Run(c.Kind, func(t *testing.T) {
+			c.At, c.For, c.Part = 3000, 7000, 1
+			st, v, _, tables := numbersDay(t, func(s *script.Script) { s.Troubles = []script.Trouble{c}; s.Numbers.Change = 3000 })
+			if len(tables.Findings) > 0 {
+				t.Error(tables.Findings[0])
+			}
+			sv, l := st.Service(), v.LookUps()
+			t.Logf("service %.3f, %+v", sv.Whole, l)
+			if sv.Whole < 0.98 {
+				t.Errorf("service %.3f", sv.Whole)
+			}
+			if c.Kind == "names_spoofed" && l.Strays == 0 || c.Kind == "names_cut" && l.Streams == 0 || c.Kind == "names_silent" && l.Down+l.Failed == 0 {
+				t.Errorf("the trouble was not felt: %+v", l)
+			}
+			for _, b := range v.Edges {
+				if f, _ := b.look.client.Open(); f != 0 {
+					t.Errorf("%d look-ups are left", f)
+				}
+			}
+		})
+	}
+}
--- a/lab/stage/trouble.go
+++ b/lab/stage/trouble.go
@@ -105,6 +105,8 @@
 		during(func() { st.muted = true }, func() { st.muted = false })
 	case "loss":
 		during(func() { st.loss += t.Size }, func() { st.loss = math.Max(0, st.loss-t.Size) })
+	case "names_silent", "names_slow", "names_lossy", "names_spoofed", "names_cut", "names_lame", "names_wrong":
+		st.namesTrouble(t, during)
 	case "listless":
 		during(func() { st.listless = true }, func() { st.listless = false })
 	}
--- a/lab/stage/virtual.go
+++ b/lab/stage/virtual.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"cobaltpier/api"
 	"cobaltpier/edge"
@@ -23,8 +24,12 @@
 	g       *Gateway
 	pending []func(now float64)
 	births  uint64
+	look    *lookUps // of this process, nil: it looks nothing up
 }
 
+// epoch is when virtual days begin: a Thursday noon, for times of day.
+var epoch = time.Date(2026, 12, 3, 17, 0, 0, 0, time.UTC)
+
 // NewVirtual puts the gateways on a stage, all with the same kind of module. They start within the first second with
 // the whole list.
 func NewVirtual(st *Stage, mk host.Maker) *Virtual {
@@ -46,6 +51,11 @@
 	cfg.Set.Seed += b.births << 32
 	b.births++
 	b.pending = nil
+	if st := b.v.Stage; st.Names != nil {
+		b.look = b.lookUps()
+		cfg.Look, cfg.Table, cfg.Share, cfg.Epoch = b.look, st.Table(st.Names.Version).Table, st.Script.Numbers.Share, epoch
+		st.TableIn(b.g.Number, st.Names.Version)
+	}
 	b.Edge = edge.New(cfg, b.v.Make, b)
 }
 
--- a/labcmd/labcmd.go
+++ b/labcmd/labcmd.go
@@ -110,7 +110,7 @@
 func kinds() string {
 	var b strings.Builder
 	for _, k := range script.KindNames() {
-		fmt.Fprintf(&b, "  %-9s %s\n", k, script.Kinds[k])
+		fmt.Fprintf(&b, "  %-13s %s\n", k, script.Kinds[k])
 	}
 	return b.String()
 }
@@ -199,7 +199,7 @@
 			return nil, err
 		}
 	}
-	return &day.Result{Service: r.Service, Findings: r.Findings, Totals: r.Totals}, nil
+	return &day.Result{Service: r.Service, Findings: r.Findings, Totals: r.Totals, Tables: r.Tables}, nil
 }
 
 const serviceHead = "whole  worst10s  worst skill            worst customer         offered   late    cut  unserved  p50 ms  p99 ms  cold  behind  rules"
@@ -232,6 +232,9 @@
 			parts = append(parts, fmt.Sprintf("rule %d broken %d times", i, n[i]))
 		}
 	}
+	if r.Tables != nil && len(r.Tables.Findings) > 0 {
+		parts = append(parts, fmt.Sprintf("%d contacts by the wrong table", len(r.Tables.Findings)))
+	}
 	if len(r.Exits) > 0 {
 		parts = append(parts, fmt.Sprintf("%d gateways ended badly", len(r.Exits)))
 	}
@@ -272,6 +275,18 @@
 			fmt.Fprintln(out, "    ", f)
 		}
 	}
+	if t := r.Tables; t != nil {
+		verdict := "all"
+		if n := len(t.Findings); n > 0 {
+			verdict = fmt.Sprintf("NOT %d of them", n)
+		}
+		fmt.Fprintf(out, "\nNumbers: %d contacts were set up by %d tables, %s wholly by one that was in force when they came\n", t.Contacts, t.Versions, verdict)
+		for i, f := range t.Findings {
+			if i < 10 {
+				fmt.Fprintln(out, "    ", f)
+			}
+		}
+	}
 	for _, e := range r.Exits {
 		fmt.Fprintln(out, "  gateway ended badly:", e)
 	}
--- a/resolve/health.go
+++ b/resolve/health.go
@@ -14,6 +14,7 @@
 	firstAway = 500.0   // ms: a server that is down is tried again after this, doubling
 	mostAway  = 10000.0 // ms
 	lameAway  = 5000.0  // ms: a server that says that it does not know the zone, or is at fault
+	loneAway  = 1000.0  // ms: where no server is up each is tried so often, for nobody else can tell
 	eager     = 0.05    // share of questions that try another server than the best: how else would one learn that it got fast
 )
 
@@ -33,6 +34,8 @@
 	away     float64 // how long it is left alone when it misses again
 	until    float64 // it is left alone till then
 	probe    float64 // a question is out to find whether it is back, till then
+	asked    float64 // the latest question to it, and that there was one
+	was      bool
 }
 
 // NewHealth is the health of so many servers of which nothing is known.
@@ -48,6 +51,7 @@
 		if s.down || s.until > now {
 			if now >= s.until && now >= s.probe && len(tried) == 0 { // it may be back: one question finds out
 				s.probe = now + h.wait(i, 0)
+				s.asked, s.was = now, true
 				return i, h.wait(i, 0)
 			}
 			continue
@@ -68,7 +72,7 @@
 		best = up[int(draw/eager*float64(len(up)))%len(up)]
 	}
 	if best < 0 {
-		return -1, 0
+		return h.lone(now, len(tried))
 	}
 	n := 0
 	for _, t := range tried {
@@ -76,9 +80,28 @@
 			n++
 		}
 	}
+	h.servers[best].asked, h.servers[best].was = now, true
 	return best, h.wait(best, n)
 }
 
+// lone chooses where no server is up: the one that was left alone the longest, if that is long enough.
+func (h *Health) lone(now float64, tries int) (server int, wait float64) {
+	best := -1
+	for i := range h.servers {
+		s := &h.servers[i]
+		if tries == 0 && now >= s.probe && (!s.was || now >= s.asked+loneAway) && (best < 0 || s.asked < h.servers[best].asked) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return -1, 0
+	}
+	s := &h.servers[best]
+	s.probe = now + h.wait(best, 0)
+	s.asked, s.was = now, true
+	return best, h.wait(best, 0)
+}
+
 // chooseLater lets equals share: the n-th of them takes the place with a chance of 1/n.
 func chooseLater(draw float64, n int) bool {
 	_, part := math.Modf(draw * 1009)
--- a/resolve/resolve.go
+++ b/resolve/resolve.go
@@ -62,6 +62,15 @@
 	Asked, Cached, Stale, Shared, Sent, Streams, Answered, None, Failed, Late, Full, Strays, Lame, Down uint64
 }
 
+// Add adds another's counts.
+func (c *Counts) Add(o *Counts) {
+	for _, x := range []struct{ to, of *uint64 }{{&c.Asked, &o.Asked}, {&c.Cached, &o.Cached}, {&c.Stale, &o.Stale}, {&c.Shared, &o.Shared},
+		{&c.Sent, &o.Sent}, {&c.Streams, &o.Streams}, {&c.Answered, &o.Answered}, {&c.None, &o.None}, {&c.Failed, &o.Failed}, {&c.Late, &o.Late},
+		{&c.Full, &o.Full}, {&c.Strays, &o.Strays}, {&c.Lame, &o.Lame}, {&c.Down, &o.Down}} {
+		*x.to += *x.of
+	}
+}
+
 // Client asks. One goroutine owns it.
 type Client struct {
 	Counts  Counts
