The edge holds contacts apart from who asked for them

Need: the decisions are to answer ENUM look-ups too. What a contact needs whoever asked (patience, look-up, the five guards, its one final answer) moves from the SIP caller's type to held; party is who wants the answer. No change in what is sent.

--- a/edge/analysis.go
+++ b/edge/analysis.go
@@ -7,7 +7,6 @@
 	"cobaltpier/chance"
 	"cobaltpier/enum"
 	"cobaltpier/number"
-	"cobaltpier/signal"
 )
 
 // routing is what a number's analysis has come to. A contact carries one table from its first digit to its final
@@ -38,11 +37,11 @@
 
 // analyse begins the analysis of a contact's number. What the table refuses at once is answered here and needs no state;
 // a question goes out only when the intake has taken the contact, so that a flood asks for nothing.
-func (k *call) analyse(user, params string) bool {
+func (k *held) analyse(user, params string) bool {
 	e := k.edge
 	p, err := enum.Params(params)
 	if err != nil {
-		k.server.Respond(signal.Response(k.req, 400, "Bad Portability Parameters", e.names.Next()))
+		k.refuse(400, "Bad Portability Parameters")
 		return false
 	}
 	e.drawn++
@@ -53,13 +52,13 @@
 	if o.Refusal != nil {
 		e.Counts.Unrouted++
 		k.letGo()
-		k.server.Respond(signal.Response(k.req, o.Refusal.Code, phrase(o.Refusal.Why), e.names.Next()))
+		k.refuse(o.Refusal.Code, phrase(o.Refusal.Why))
 		return false
 	}
 	if o.Route != nil {
 		if !k.routed(o.Route) {
 			k.letGo()
-			k.server.Respond(signal.Response(k.req, 500, "Server Internal Error", e.names.Next()))
+			k.refuse(500, "Server Internal Error")
 			return false
 		}
 		return true
@@ -69,7 +68,7 @@
 }
 
 // lookUp asks what the analysis wants to know, for no longer than a part of what is left of the caller's patience.
-func (k *call) lookUp() {
+func (k *held) lookUp() {
 	e := k.edge
 	within := min(k.route.within, e.cfg.Share*(k.Until-e.now))
 	over := false
@@ -94,12 +93,12 @@
 }
 
 // goOn takes the end of an analysis that had a question: the module gets the contact, or the caller its answer.
-func (k *call) goOn(o number.Outcome) {
+func (k *held) goOn(o number.Outcome) {
 	e := k.edge
 	switch {
 	case o.Refusal != nil:
 		e.Counts.Unrouted++
-		k.answer(signal.Response(k.req, o.Refusal.Code, phrase(o.Refusal.Why), k.tag))
+		k.refuse(o.Refusal.Code, phrase(o.Refusal.Why))
 	case o.Route == nil || !k.routed(o.Route):
 		e.Abandon(k.Contact)
 	default:
@@ -109,7 +108,7 @@
 }
 
 // routed puts a route's fields into the contact; false: it names what this edge does not have.
-func (k *call) routed(r *number.Route) bool {
+func (k *held) routed(r *number.Route) bool {
 	e := k.edge
 	g := e.byName[r.Group]
 	if g == nil {
@@ -139,7 +138,7 @@
 }
 
 // letGo ends a contact's hold of its table and takes back what it asked.
-func (k *call) letGo() {
+func (k *held) letGo() {
 	r := &k.route
 	if r.stop != nil {
 		r.stop()
--- a/edge/analysis_test.go
+++ b/edge/analysis_test.go
@@ -158,7 +158,7 @@
 	r.e.cfg.Gate.Most = 5000
 	var sent []string
 	r.m.offered = func(now float64, c *contact.Contact) {
-		sent = append(sent, c.Number+c.ID.(*call).route.params)
+		sent = append(sent, c.Number+c.ID.(*held).route.params)
 		r.m.h.Defer(c, 0)
 	}
 	for v := 1; v <= 4; v++ {
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -6,7 +6,6 @@
 
 	"github.com/emiago/sipgo/sip"
 
-	"cobaltpier/clock"
 	"cobaltpier/contact"
 	"cobaltpier/host"
 	"cobaltpier/signal"
@@ -30,23 +29,15 @@
 	tag    string
 }
 
-// call is a contact with its legs.
+// call is a contact of a caller by SIP, with its legs.
 type call struct {
-	host.Call
-	edge    *Edge
-	req     *sip.Request
-	server  *signal.Server
-	tag     string
-	session string
-	payer   string // host of the caller's address
-	trunk   *leg   // whose ring is out or stands
-	overdue *clock.Timer
-	rang    bool    // the caller was told that it rings
-	offered bool    // the module has it
-	from    float64 // its patience counts from here
-	expires float64 // what the caller said of its patience, 0: nothing
-	route   routing
-	clear   float64 // rule 5: no send before this
+	*held
+	req    *sip.Request
+	server *signal.Server
+	tag    string
+	payer  string // host of the caller's address
+	trunk  *leg   // whose ring is out or stands
+	rang   bool   // the caller was told that it rings
 }
 
 // invited takes an INVITE: decoded fields go straight into a contact. It is offered by the next Wake.
@@ -75,9 +66,9 @@
 	if g := e.byName[param(params, "tgrp")]; g != nil {
 		c.HomeNumber = g.Pool
 	}
-	k := &call{Call: host.Call{Contact: c}, edge: e, req: req, server: s, session: signal.Session(req),
-		payer: req.From().Address.Host, from: e.since(), expires: signal.Wait(signal.Field(req, "Expires"))}
-	c.ID, s.User = k, k
+	k := &call{held: &held{Call: host.Call{Contact: c}, edge: e, session: signal.Session(req), from: e.since(),
+		expires: signal.Wait(signal.Field(req, "Expires"))}, req: req, server: s, payer: req.From().Address.Host}
+	k.party, c.ID, s.User = k, k.held, k
 	k.patience()
 	if k.session == "" {
 		k.session = e.session()
@@ -86,16 +77,7 @@
 		return
 	}
 	c.Home = e.pools.Home(c.HomeNumber)
-	e.waiting = append(e.waiting, k)
-}
-
-// patience is how long the caller of a contact of its skill waits, no longer than it says itself.
-func (k *call) patience() {
-	p := k.Skill.Patience
-	if k.expires > 0 {
-		p = min(p, k.expires)
-	}
-	k.Until = k.from + p - k.edge.cfg.Margin
+	e.waiting = append(e.waiting, k.held)
 }
 
 // param is a parameter of a telephone number in a user part (RFC 3261 19.1.6, RFC 4904).
@@ -122,88 +104,61 @@
 	return signal.Response(req, 503, "Service Unavailable", "busy")
 }
 
-// turn refuses what the intake does not take.
-func (e *Edge) turn(k *call) {
-	if k.Over {
-		return
-	}
-	e.Counts.Turned++
-	k.Over = true
-	k.letGo()
-	e.refusals.Add(e.now, key(k.req))
-	k.server.Refuse(e.busy(k.req))
+// turned implements party.
+func (k *call) turned() {
+	k.edge.refusals.Add(k.edge.now, key(k.req))
+	k.server.Refuse(k.edge.busy(k.req))
 }
 
-// take hands a contact to the module.
-func (e *Edge) take(k *call) {
-	e.Counts.Taken++
-	e.held++
-	k.tag = e.names.Next()
-	if e.closing {
-		e.Counts.Deferred++
-		k.answer(signal.Response(k.req, 503, "Service Unavailable", k.tag))
+// refuse implements party: of what was not taken nothing is kept.
+func (k *call) refuse(code int, why string) {
+	if k.tag == "" {
+		k.server.Respond(signal.Response(k.req, code, why, k.edge.names.Next()))
 		return
 	}
-	if k.route.waits != "" {
-		k.watch()
-		k.lookUp()
-		return
-	}
-	k.offer()
-	if !k.Over && !k.Stands {
-		k.watch()
-	}
+	k.answer(signal.Response(k.req, code, why, k.tag))
 }
 
-// offer hands a contact whose route is known to the module.
-func (k *call) offer() {
-	k.offered = true
-	k.edge.mod.Offered(k.edge.now, k.Contact)
+// defers implements party.
+func (k *call) defers(wait float64) {
+	res := signal.Response(k.req, 503, "Service Unavailable", k.tag)
+	if wait > 0 && k.edge.cfg.Set.MayWait {
+		res.AppendHeader(sip.NewHeader(signal.RetryAfter, signal.Seconds(wait)))
+	}
+	k.answer(res)
 }
 
-// watch sees to it that the caller hears something soon, and has its answer whatever happens.
-func (k *call) watch() {
-	e := k.edge
-	k.overdue = e.timers.Set(e.now+trying, func() {
-		if !k.rang {
-			k.server.Respond(signal.Response(k.req, 100, "Trying", ""))
-		}
-		// Rule 1 holds whatever the module does: a contact that is forgotten is answered here.
-		k.overdue = e.timers.Set(k.Until+e.cfg.Set.Slack/2, func() {
-			e.Counts.Overdue++
-			e.Abandon(k.Contact)
-		})
-	})
+// isOut implements party.
+func (k *call) isOut() bool { return k.trunk != nil }
+
+// callOff implements party.
+func (k *call) callOff(r *contact.Ring) {
+	if k.trunk != nil && k.trunk.ring == r && !k.Stands {
+		k.trunk.cancel()
+	}
 }
 
-// trying is when a caller that heard nothing is told that its call is looked at: 200 ms at most (RFC 3261 8.2.6.1), ms.
-const trying = 150
+// begin implements party.
+func (k *call) begin() { k.tag = k.edge.names.Next() }
+
+// trying implements party.
+func (k *call) trying() {
+	if !k.rang {
+		k.server.Respond(signal.Response(k.req, 100, "Trying", ""))
+	}
+}
 
-// answer sends a final answer: the one place that does so for a contact that was taken. A second one never leaves.
+// answer sends a final answer. A second one never leaves.
 func (k *call) answer(res *sip.Response) {
-	if k.Over || k.Stands {
+	if !k.settle(res.StatusCode) {
 		return
 	}
-	e := k.edge
-	e.held--
-	e.timers.Stop(k.overdue)
-	k.letGo()
-	if res.StatusCode >= 300 {
-		k.Over = true
-	}
 	k.server.Respond(res)
-	if e.OnFate != nil {
-		e.OnFate(Fate{Session: k.session, Skill: k.Skill.Name, Answer: res.StatusCode, Rings: k.Rings(), Took: e.now - k.Came,
-			Table: k.route.version, Route: k.route.name})
-	}
 	if k.Over && k.trunk != nil {
 		k.trunk.cancel()
 	}
 }
 
-// Rings is how many set-ups were sent.
-func (k *call) Rings() int { return k.Contact.Rings }
-
 // ringing tells the caller that it rings.
 func (k *call) ringing() {
 	if !k.rang && !k.Over {
@@ -294,7 +249,7 @@
 	}
 	l.told = true
 	l.forget()
-	e.ended(k, l.ring, how, true)
+	k.ended(l.ring, how, true)
 }
 
 // bye gives a BYE its Session-ID and reason.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -4,7 +4,7 @@
 // decides nothing that the module decides.
 //
 // A contact passes caller leg, intake, module, trunk leg; what comes back runs the other way. What the five rules ask
-// of the wire is kept at one place each: rule 1 in (*call).answer, rules 2, 3 and 5 in (*Edge).Ring.
+// of the wire is kept at one place each: rule 1 in (*held).settle, rules 2, 3 and 5 in (*Edge).Ring.
 package edge
 
 import (
@@ -113,7 +113,7 @@
 	skills   map[string]*contact.Skill
 	payers   map[string]*contact.Customer
 	ends     map[string]*end // dialogs by our tag
-	waiting  []*call         // came since the last tick
+	waiting  []*held         // came since the last tick
 	refusals intake.Refusals
 	held     int // contacts without a final answer
 	standing int
@@ -228,7 +228,7 @@
 	}
 	for i, ok := range e.cfg.Gate.Take(now, values, e.held) {
 		if k := batch[i]; !ok {
-			e.turn(k)
+			k.turn()
 		} else if !k.Over {
 			e.take(k)
 		}
@@ -279,9 +279,9 @@
 // Ring implements contact.Host: rules 2, 3 and 5 are the module's to keep, and whatever it asks, nothing that breaks
 // one of them passes here. What is barred comes back as never sent.
 func (e *Edge) Ring(c *contact.Contact, p *contact.Pool, limit float64) {
-	k := c.ID.(*call)
+	k := c.ID.(*held)
 	off := &e.cfg.Off
-	barred := !off[1] && (k.Over || e.now > c.Until) || !off[2] && k.trunk != nil ||
+	barred := !off[1] && (k.Over || e.now > c.Until) || !off[2] && k.isOut() ||
 		!off[3] && p.State != contact.Ready || !off[5] && e.now < k.clear
 	r := k.Ring(p, e.now)
 	e.Counts.Rings++
@@ -290,7 +290,7 @@
 		e.Counts.Barred++
 	}
 	if barred || g == nil || g.out >= g.Size {
-		e.timers.Set(e.now, func() { e.ended(k, r, contact.Unsent, false) })
+		e.timers.Set(e.now, func() { k.ended(r, contact.Unsent, false) })
 		return
 	}
 	k.dial(r, g, math.Min(limit, c.Until-e.now))
@@ -298,28 +298,18 @@
 
 // Defer implements contact.Host.
 func (e *Edge) Defer(c *contact.Contact, wait float64) {
-	k := c.ID.(*call)
 	e.Counts.Deferred++
-	res := signal.Response(k.req, 503, "Service Unavailable", k.tag)
-	if wait > 0 && e.cfg.Set.MayWait {
-		res.AppendHeader(sip.NewHeader(signal.RetryAfter, signal.Seconds(wait)))
-	}
-	k.answer(res)
+	c.ID.(*held).defers(wait)
 }
 
 // Abandon implements contact.Host.
 func (e *Edge) Abandon(c *contact.Contact) {
-	k := c.ID.(*call)
 	e.Counts.Abandoned++
-	k.answer(signal.Response(k.req, 500, "Server Internal Error", k.tag))
+	c.ID.(*held).refuse(500, "Server Internal Error")
 }
 
 // Cancel implements contact.Host. The ring's end comes when the switch has said how it ended: until then it is out.
-func (e *Edge) Cancel(r *contact.Ring) {
-	if k := r.Contact.ID.(*call); k.trunk != nil && k.trunk.ring == r && !k.Stands {
-		k.trunk.cancel()
-	}
-}
+func (e *Edge) Cancel(r *contact.Ring) { r.Contact.ID.(*held).callOff(r) }
 
 // Probe implements contact.Host: OPTIONS (RFC 3261 11).
 func (e *Edge) Probe(p *contact.Pool) {
--- a/edge/trunk.go
+++ b/edge/trunk.go
@@ -153,19 +153,7 @@
 	if k.trunk == l {
 		k.trunk = nil
 	}
-	k.edge.ended(k, l.ring, how, k.Over)
-}
-
-// ended notes a ring's end and tells the module.
-func (e *Edge) ended(k *call, r *contact.Ring, how contact.End, closed bool) {
-	if k.Call.Rings[r.ID.(int)] == nil {
-		return
-	}
-	if how == contact.TimedOut || how == contact.Reset || how == contact.Cancelled {
-		k.clear = e.now + e.cfg.Set.ClearWait
-	}
-	k.End(r, how, e.now-r.Sent, closed || k.Over)
-	e.mod.Ended(e.now, r, k.Over)
+	k.ended(l.ring, how, k.Over)
 }
 
 // forget lets go of the leg's dialog and circuit.
