An ENUM front: kiosks' look-ups are answered with the pool that is decided

Need: kiosks resolve a number and call the switch themselves.

edge.Enquire takes a contact of whoever asks; its ring is the answer, through the same guards, intake and tables as a call's, and the module counts it as a ring that was taken. front speaks DNS without I/O: one contact however often a question is repeated, decided anew once the named pool drains, rates by client network (bart), truncation towards TCP, a bound on octets sent for those that came. TTL 0 by default. Test on real sockets by UDP and TCP.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -81,7 +81,7 @@
 // Counts are what an edge has seen since its start.
 type Counts struct {
 	Taken, Turned, Stood, Deferred, Abandoned, Left, Rings, Overdue, Barred uint64
-	Asked, Unrouted                                                         uint64 // of numbers: look-ups, refused by the table
+	Asked, Unrouted, Named                                                  uint64 // of numbers: look-ups, refused by the table; enquiries answered with a pool
 }
 
 // Fate is the end of a contact, for logs.
--- /dev/null
+++ b/edge/enquiry_test.go
@@ -0,0 +1,102 @@
+package edge
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"cobaltpier/contact"
+	"cobaltpier/number"
+)
+
+// An enquiry's answer names the pool that the module rings, once; the module hears that the ring is over.
+func TestEnquiry(t *testing.T) {
+	r, b := numberRig(t)
+	r.m.offered = func(now float64, c *contact.Contact) { r.m.h.Ring(c, r.m.pools[1], c.Until-now) }
+	var got []Named
+	r.e.Enquire(r.now, "14185550123", "shift-lookup", 2000, func(_ float64, n Named) { got = append(got, n) })
+	r.pass(1)
+	if len(b.asked) != 1 || len(got) != 0 {
+		t.Fatalf("asked %v, %v", b.asked, got)
+	}
+	b.done[0](r.now, number.Ported, "+15145550000")
+	if len(got) != 1 || got[0].Code != 200 || got[0].Addr != switchB || got[0].Group != "TG-1" || got[0].Number != "+14185550123" ||
+		got[0].Params != ";npdi;rn=+70115145550000" || !got[0].Still() {
+		t.Fatalf("%+v", got)
+	}
+	r.pass(2)
+	if want := fmt.Sprintf("ended %d closed true wait 0", contact.Done); len(r.m.heard) != 1 || r.m.heard[0] != want {
+		t.Errorf("the module heard %v", r.m.heard)
+	}
+	if held, _ := r.e.Held(); held != 0 || r.e.Counts.Named != 1 || len(r.e.tables) != 0 {
+		t.Errorf("%d held, %+v", held, r.e.Counts)
+	}
+	r.e.Listed(r.now, []Member{{ID: "b", Number: 1, State: contact.Draining, Addr: switchB}}, false)
+	if got[0].Still() {
+		t.Error("a pool that drains may still be named")
+	}
+}
+
+// Rules 2 and 3 hold for enquiries at the same place as for calls, rule 1 whatever the module does.
+func TestEnquiryRules(t *testing.T) {
+	r := newRig(t)
+	var got []Named
+	done := func(_ float64, n Named) { got = append(got, n) }
+	r.m.offered = func(now float64, c *contact.Contact) {
+		r.m.h.Ring(c, r.m.pools[0], 100)
+		r.m.h.Ring(c, r.m.pools[1], 100)
+		r.m.h.Defer(c, 0)
+	}
+	r.e.Enquire(r.now, "1", "shift-lookup", 2000, done)
+	r.pass(2)
+	if len(got) != 1 || got[0].Code != 200 || r.e.Counts.Barred != 1 {
+		t.Errorf("two rings and a deferral: %+v, barred %d", got, r.e.Counts.Barred)
+	}
+	got = nil
+	r.list(contact.Draining)
+	r.m.offered = func(now float64, c *contact.Contact) { r.m.h.Ring(c, r.m.pools[0], 100) }
+	r.e.Enquire(r.now, "1", "shift-lookup", 2000, done)
+	r.pass(1990)
+	if len(got) != 0 {
+		t.Errorf("a pool that drains: %+v", got)
+	}
+	r.pass(30) // the module forgets it
+	if len(got) != 1 || got[0].Code != 500 || r.e.Counts.Overdue != 1 {
+		t.Errorf("forgotten: %+v", got)
+	}
+	got = nil
+	r.m.offered = func(now float64, c *contact.Contact) {}
+	stop := r.e.Enquire(r.now, "1", "shift-lookup", 2000, done)
+	r.pass(1)
+	stop()
+	stop()
+	r.pass(3000)
+	if len(got) != 0 || r.m.heard[len(r.m.heard)-1] != "left" {
+		t.Errorf("taken back: %+v, heard %v", got, r.m.heard)
+	}
+	r.e.Close()
+	r.e.Enquire(r.now, "1", "shift-lookup", 2000, done)
+	r.e.Enquire(r.now, "1", "nothing", 2000, done)
+	r.pass(1)
+	if len(got) != 2 || got[0].Code != 404 || got[1].Code != 503 {
+		t.Errorf("while it drains: %+v", got)
+	}
+	if held, _ := r.e.Held(); held != 0 {
+		t.Errorf("%d held", held)
+	}
+}
+
+// A flood of enquiries passes the same intake as calls.
+func TestEnquiryFlood(t *testing.T) {
+	r := newRig(t)
+	r.e.cfg.Gate.Most = 10
+	r.m.offered = func(float64, *contact.Contact) {}
+	n := map[string]int{}
+	for range 100 {
+		r.e.Enquire(r.now, "1", "shift-lookup", 2000, func(_ float64, x Named) { n[strings.Fields(x.Why)[0]]++ })
+	}
+	r.pass(1)
+	if n["busy"] != 90 || r.e.Counts.Turned != 90 {
+		t.Errorf("%v, turned %d", n, r.e.Counts.Turned)
+	}
+}
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,337 @@
+package front
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/miekg/dns"
+	"pgregory.net/rapid"
+
+	"cobaltpier/edge"
+)
+
+// desk is an edge that a test plays.
+type desk struct {
+	asked   []string
+	done    []func(now float64, n edge.Named)
+	stopped int
+	ready   bool
+	atOnce  *edge.Named
+}
+
+func (d *desk) Enquire(now float64, number, skill string, patience float64, done func(float64, edge.Named)) func() {
+	d.asked = append(d.asked, number+" "+skill)
+	if d.atOnce != nil {
+		done(now, *d.atOnce)
+		return func() {}
+	}
+	d.done = append(d.done, done)
+	return func() { d.stopped++ }
+}
+
+func (d *desk) named() edge.Named {
+	return edge.Named{Code: 200, Addr: netip.MustParseAddrPort("127.0.0.3:5060"), Group: "TG-0", Number: "+14185551234", Params: ";npdi",
+		Still: func() bool { return d.ready }}
+}
+
+type rig struct {
+	*testing.T
+	f    *Front
+	d    *desk
+	got  []*dns.Msg
+	size []int
+	now  float64
+}
+
+func newRig(t *testing.T, change func(*Config)) *rig {
+	c := Config{Apex: "e164.test", Skill: "shift-lookup", TTL: 0, Negative: 30, Patience: 2000, Repeat: 5000, Gain: 8, Most: 100, Keep: 150, Context: "x.example"}
+	if change != nil {
+		change(&c)
+	}
+	r := &rig{T: t, d: &desk{ready: true}, now: 1000}
+	r.f = New(c, r.d)
+	return r
+}
+
+var kiosk = netip.MustParseAddrPort("10.0.0.1:4000")
+
+func query(name string, kind, id uint16, edns uint16) *dns.Msg {
+	m := new(dns.Msg)
+	m.SetQuestion(name, kind)
+	m.Id = id
+	if edns > 0 {
+		m.SetEdns0(edns, false)
+	}
+	return m
+}
+
+func (r *rig) ask(from netip.AddrPort, m *dns.Msg, stream bool) {
+	b, err := m.Pack()
+	if err != nil {
+		r.Fatal(err)
+	}
+	r.f.Receive(r.now, from, b, stream, func(b []byte) {
+		m := new(dns.Msg)
+		if err := m.Unpack(b); err != nil {
+			r.Fatal(err)
+		}
+		r.got, r.size = append(r.got, m), append(r.size, len(b))
+	})
+}
+
+const name = "4.3.2.1.5.5.5.8.1.4.1.e164.test."
+
+// A look-up is answered once with the pool that is decided, and a failure with what it was.
+func TestAnswers(t *testing.T) {
+	r := newRig(t, nil)
+	r.ask(kiosk, query(strings.ToUpper(name), dns.TypeNAPTR, 7, 1232), false)
+	if len(r.got) != 0 || len(r.d.asked) != 1 || r.d.asked[0] != "14185551234 shift-lookup" {
+		t.Fatalf("%v, asked %v", r.got, r.d.asked)
+	}
+	r.d.done[0](1100, r.d.named())
+	m := r.got[0]
+	n, ok := m.Answer[0].(*dns.NAPTR)
+	if !ok || m.Id != 7 || !m.Authoritative || n.Hdr.Ttl != 0 || n.Hdr.Name != strings.ToUpper(name) || n.Flags != "u" || n.Service != "E2U+sip" ||
+		n.Regexp != "!^.*$!sip:+14185551234;npdi;tgrp=TG-0;trunk-context=x.example@127.0.0.3:5060!" {
+		t.Errorf("%v", m)
+	}
+	for i, c := range []struct {
+		n     edge.Named
+		rcode int
+		text  string
+	}{
+		{edge.Named{Code: 404, Why: "no rule"}, dns.RcodeNameError, ""},
+		{edge.Named{Code: 503, Why: "deferred", Wait: 1500}, dns.RcodeServerFailure, "deferred; retry after 1500 ms"},
+		{edge.Named{Code: 500, Why: "fault"}, dns.RcodeServerFailure, "fault"},
+	} {
+		r.got = nil
+		r.d.atOnce = &c.n
+		r.ask(kiosk, query(name, dns.TypeNAPTR, uint16(100+i), 1232), false)
+		m := r.got[0]
+		if len(r.got) != 1 || m.Rcode != c.rcode || len(m.Answer) != 0 || c.rcode == dns.RcodeNameError && len(m.Ns) != 1 {
+			t.Errorf("%+v: %v", c.n, m)
+		}
+		if c.text != "" {
+			o := m.IsEdns0()
+			if o == nil || len(o.Option) != 1 || o.Option[0].(*dns.EDNS0_EDE).ExtraText != c.text {
+				t.Errorf("%+v: %v", c.n, o)
+			}
+		}
+	}
+}
+
+// What is no question for a number here is answered without any contact, and an answer is never answered.
+func TestOthers(t *testing.T) {
+	r := newRig(t, nil)
+	reply := query(name, dns.TypeNAPTR, 1, 0)
+	reply.Response = true
+	notify := query(name, dns.TypeNAPTR, 1, 0)
+	notify.Opcode = dns.OpcodeNotify
+	chaos := query(name, dns.TypeNAPTR, 1, 0)
+	chaos.Question[0].Qclass = dns.ClassCHAOS
+	for what, c := range map[string]struct {
+		m    *dns.Msg
+		want int // -1: nothing
+	}{
+		"an answer":         {reply, -1},
+		"another zone":      {query("1.e164.arpa.", dns.TypeNAPTR, 1, 0), dns.RcodeRefused},
+		"a longer apex":     {query("1.xe164.test.", dns.TypeNAPTR, 1, 0), dns.RcodeRefused},
+		"no digits":         {query("a.e164.test.", dns.TypeNAPTR, 1, 0), dns.RcodeNameError},
+		"the apex":          {query("e164.test.", dns.TypeNAPTR, 1, 0), dns.RcodeSuccess},
+		"another type":      {query(name, dns.TypeA, 1, 0), dns.RcodeSuccess},
+		"another operation": {notify, dns.RcodeNotImplemented},
+		"another class":     {chaos, dns.RcodeRefused},
+		"41 digits":         {query(strings.Repeat("1.", 41)+"e164.test.", dns.TypeNAPTR, 1, 0), dns.RcodeNameError},
+	} {
+		r.got = nil
+		r.ask(kiosk, c.m, false)
+		if c.want < 0 && len(r.got) != 0 || c.want >= 0 && (len(r.got) != 1 || r.got[0].Rcode != c.want || len(r.got[0].Answer) != 0) {
+			t.Errorf("%s: %v", what, r.got)
+		}
+	}
+	if len(r.d.asked) != 0 {
+		t.Errorf("asked %v", r.d.asked)
+	}
+	r.got = nil
+	r.f.Receive(0, kiosk, []byte{0, 1, 2}, true, func([]byte) { t.Error("answered three octets") })
+	r.f.Receive(0, kiosk, append([]byte{0, 9, 0, 0}, make([]byte, 3)...), false, func([]byte) { t.Error("answered damage by datagram") })
+}
+
+// A question that is repeated while it waits is one contact, and gets its answer; repeated after, the same answer, but not
+// once the pool drains: then it is decided anew. Another id or client is another contact.
+func TestRepeats(t *testing.T) {
+	r := newRig(t, nil)
+	q := query(name, dns.TypeNAPTR, 7, 1232)
+	r.ask(kiosk, q, false)
+	r.ask(kiosk, q, false)
+	if len(r.d.asked) != 1 {
+		t.Fatalf("asked %v", r.d.asked)
+	}
+	r.d.done[0](r.now, r.d.named())
+	r.ask(kiosk, q, false)
+	if len(r.got) != 3 || len(r.d.asked) != 1 {
+		t.Fatalf("%d answers, asked %v", len(r.got), r.d.asked)
+	}
+	r.ask(kiosk, query(name, dns.TypeNAPTR, 8, 1232), false)
+	r.ask(netip.MustParseAddrPort("10.0.0.2:4000"), q, false)
+	if len(r.d.asked) != 3 {
+		t.Fatalf("asked %v", r.d.asked)
+	}
+	r.d.ready = false
+	r.ask(kiosk, q, false)
+	if len(r.got) != 3 || len(r.d.asked) != 4 {
+		t.Errorf("while the pool drains: %d answers, asked %v", len(r.got), r.d.asked)
+	}
+	r.f.Close(r.now)
+	if r.d.stopped != 3 || len(r.got) != 6 || r.got[5].Rcode != dns.RcodeServerFailure || r.f.Open() != 0 {
+		t.Errorf("closed: %d stopped, %d answers, %d open", r.d.stopped, len(r.got), r.f.Open())
+	}
+}
+
+// Answers are remembered for a while only, and no more questions are held than may be.
+func TestBounded(t *testing.T) {
+	r := newRig(t, nil)
+	for i := range 300 {
+		r.ask(kiosk, query(name, dns.TypeNAPTR, uint16(i), 0), true)
+	}
+	if r.f.Open() != 100 || len(r.got) != 200 {
+		t.Errorf("%d held, %d failed", r.f.Open(), len(r.got))
+	}
+	for _, d := range r.d.done {
+		d(r.now, r.d.named())
+	}
+	n := edge.Named{Code: 404}
+	r.d.atOnce = &n
+	for i := range 200 {
+		r.ask(kiosk, query(name, dns.TypeNAPTR, uint16(1000+i), 0), true)
+	}
+	if r.f.Open() < 150 || r.f.Open() > 151 {
+		t.Errorf("%d remembered", r.f.Open())
+	}
+	r.now += 5001
+	if r.ask(kiosk, query(name, dns.TypeNAPTR, 2000, 0), true); r.f.Open() != 1 {
+		t.Errorf("%d remembered too long", r.f.Open())
+	}
+}
+
+// A client that asks too much by datagram gets no more than its rate, of the rest half truncated in no more octets than it
+// sent; over TCP it is served. Forged addresses take bounded memory.
+func TestLimits(t *testing.T) {
+	n := edge.Named{Code: 404}
+	r := newRig(t, func(c *Config) {
+		c.Limits = Limits{Rate: 10, Burst: 20, Clients: 1000, Nets: []Net{{netip.MustParsePrefix("10.1.0.0/16"), 1000}, {netip.MustParsePrefix("10.2.0.0/16"), 0}}}
+	})
+	r.d.atOnce = &n
+	flood := func(from string, count int) (answered, slipped, refused int) {
+		r.got, r.size = nil, nil
+		for i := range count {
+			r.now += 1
+			r.ask(netip.MustParseAddrPort(from), query(name, dns.TypeNAPTR, uint16(i), 1232), false)
+		}
+		for i, m := range r.got {
+			switch {
+			case m.Rcode == dns.RcodeNameError:
+				answered++
+			case m.Rcode == dns.RcodeRefused:
+				refused++
+			case m.Truncated:
+				slipped++
+				if r.size[i] > 60 {
+					t.Errorf("a truncated answer of %d octets", r.size[i])
+				}
+			}
+		}
+		return
+	}
+	if a, s, x := flood("10.0.0.1:1", 1000); a != 30 && a != 29 || s < 484 || s > 486 || x != 0 {
+		t.Errorf("%d answered, %d truncated, %d refused of 1000", a, s, x)
+	}
+	if a, _, _ := flood("10.0.0.200:1", 100); a > 2 {
+		t.Errorf("its neighbour: %d answered", a)
+	}
+	if a, s, _ := flood("10.1.0.1:1", 1000); a != 1000 || s != 0 {
+		t.Errorf("a known network: %d answered, %d truncated", a, s)
+	}
+	if a, _, x := flood("10.2.0.1:1", 100); a != 0 || x != 100 {
+		t.Errorf("a refused network: %d answered, %d refused", a, x)
+	}
+	r.got = nil
+	if r.ask(netip.MustParseAddrPort("10.0.0.1:1"), query(name, dns.TypeNAPTR, 1, 0), true); len(r.got) != 1 || r.got[0].Truncated {
+		t.Errorf("over TCP: %v", r.got)
+	}
+	for i := range 100000 {
+		r.f.limits.ask(r.now, netip.AddrFrom4([4]byte{byte(20 + i>>16), byte(i >> 8), byte(i), 1}))
+	}
+	if n := len(r.f.limits.new) + len(r.f.limits.old); n > 1000 {
+		t.Errorf("%d networks remembered", n)
+	}
+	r = newRig(t, func(c *Config) { c.Limits = Limits{Total: 100} })
+	r.d.atOnce = &n
+	answered := 0
+	for i := range 2000 {
+		r.now++
+		r.got = nil
+		r.ask(netip.AddrPortFrom(netip.AddrFrom4([4]byte{30, byte(i >> 8), byte(i), 1}), 1), query(name, dns.TypeNAPTR, 1, 0), false)
+		if len(r.got) > 0 && !r.got[0].Truncated {
+			answered++
+		}
+	}
+	if answered < 195 || answered > 215 {
+		t.Errorf("%d answered of 2000 in 2 s, want 200", answered)
+	}
+}
+
+// Whatever is asked by datagram, what is sent is no more than the gain, nor more than the client takes; and one message
+// for each that came, at most.
+func TestGain(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		gain := rapid.Float64Range(1, 10).Draw(rt, "gain")
+		r := newRig(t, func(c *Config) { c.Gain = gain })
+		n := r.d.named()
+		n.Params = strings.Repeat("x", rapid.IntRange(0, 200).Draw(rt, "long"))
+		switch rapid.IntRange(0, 2).Draw(rt, "what") {
+		case 0:
+			r.d.atOnce = &n
+		case 1:
+			r.d.atOnce = &edge.Named{Code: 404}
+		case 2:
+			r.d.atOnce = &edge.Named{Code: 503, Why: strings.Repeat("y", 50), Wait: 3}
+		}
+		edns := uint16(rapid.SampledFrom([]int{0, 100, 512, 1232, 65535}).Draw(rt, "edns"))
+		q := query(rapid.SampledFrom([]string{name, "1.e164.test.", "e164.test.", "x."}).Draw(rt, "name"), rapid.SampledFrom([]uint16{dns.TypeNAPTR, dns.TypeANY}).Draw(rt, "type"), 1, edns)
+		b, _ := q.Pack()
+		r.ask(kiosk, q, false)
+		if len(r.got) != 1 {
+			rt.Fatalf("%d answers", len(r.got))
+		}
+		// a truncated one holds the question alone
+		if s := r.size[0]; float64(s) > max(gain*float64(len(b)), float64(len(b))) || s > 1232 || edns < 513 && s > 512 {
+			rt.Fatalf("%d octets for %d, gain %.1f, edns %d", s, len(b), gain, edns)
+		}
+	})
+}
+
+func FuzzReceive(f *testing.F) {
+	b, _ := query(name, dns.TypeNAPTR, 1, 1232).Pack()
+	f.Add(b, true)
+	f.Add([]byte{0, 1, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 1}, true)
+	f.Fuzz(func(t *testing.T, b []byte, stream bool) {
+		r := newRig(t, nil)
+		n := r.d.named()
+		r.d.atOnce = &n
+		sent := 0
+		r.f.Receive(1, kiosk, b, stream, func(out []byte) {
+			sent++
+			if !stream && float64(len(out)) > 8*float64(len(b)) {
+				t.Errorf("%d octets for %d", len(out), len(b))
+			}
+			if len(b) > 2 && b[2]&0x80 != 0 {
+				t.Error("an answer was answered")
+			}
+		})
+		if sent > 1 {
+			t.Errorf("%d answers", sent)
+		}
+	})
+}
--- /dev/null
+++ b/front/limit.go
@@ -0,0 +1,124 @@
+package front
+
+import (
+	"math"
+	"net/netip"
+
+	"github.com/gaissmai/bart"
+)
+
+//tally:decisions
+
+// Verdict is what is done with a question that came by datagram.
+type Verdict int
+
+// The verdicts.
+const (
+	Answer Verdict = iota
+	Slip           // an empty answer that is truncated: who really asked comes back over TCP, which nobody can forge
+	Drop           // nothing
+	Refuse         // this client is not served
+)
+
+// Limits bound what clients may ask by datagram, where the sender's address may be forged. It guards others against
+// answers that they never asked for, and this gateway against floods.
+type Limits struct {
+	Rate    float64 // questions a second of one client network; 0: any number
+	Burst   float64 // so many at once
+	Total   float64 // answers a second to all; 0: any number
+	Clients int     // networks remembered
+	Nets    []Net   // networks with rates of their own
+}
+
+// Net is a network of clients.
+type Net struct {
+	Prefix netip.Prefix
+	Rate   float64 // questions a second of each client network in it; 0: they are refused
+}
+
+// limiter decides; a network of clients is a /24 of IPv4 or a /56 of IPv6, as its addresses are one holder's.
+type limiter struct {
+	set   Limits
+	nets  *bart.Table[float64]
+	new   map[netip.Prefix]*bucket
+	old   map[netip.Prefix]*bucket
+	total bucket
+	slips uint64
+}
+
+type bucket struct {
+	tokens float64
+	at     float64
+}
+
+func newLimiter(set Limits) *limiter {
+	l := &limiter{set: set, nets: &bart.Table[float64]{}, new: map[netip.Prefix]*bucket{}}
+	for _, n := range set.Nets {
+		l.nets.Insert(n.Prefix.Masked(), n.Rate)
+	}
+	return l
+}
+
+// take fills a bucket up for the time that has passed and takes a token out.
+func (b *bucket) take(now, rate, burst float64) bool {
+	b.tokens = math.Min(burst, b.tokens+rate/1000*math.Max(0, now-b.at))
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// ask judges a question from an address.
+func (l *limiter) ask(now float64, from netip.Addr) Verdict {
+	from = from.Unmap()
+	rate := l.set.Rate
+	if r, ok := l.nets.Lookup(from); ok {
+		if r <= 0 {
+			return Refuse
+		}
+		rate = r
+	}
+	if rate > 0 && !l.client(from, rate).take(now, rate, math.Max(1, l.set.Burst)) {
+		return l.over()
+	}
+	if t := l.set.Total; t > 0 && !l.total.take(now, t, math.Max(1, t/10)) {
+		return l.over()
+	}
+	return Answer
+}
+
+// over: every second question too many gets an answer that sends its asker to TCP, and is no larger than the question.
+func (l *limiter) over() Verdict {
+	l.slips++
+	if l.slips%2 == 1 {
+		return Slip
+	}
+	return Drop
+}
+
+// client is the bucket of an address's network. Two generations are kept, so that a flood of forged addresses takes no
+// more memory than that; what it makes us forget is only how much a network has left.
+func (l *limiter) client(from netip.Addr, rate float64) *bucket {
+	bits := 24
+	if from.Is6() {
+		bits = 56
+	}
+	p, err := from.Prefix(bits)
+	if err != nil {
+		p = netip.PrefixFrom(from, from.BitLen())
+	}
+	if b := l.new[p]; b != nil {
+		return b
+	}
+	b := l.old[p]
+	if b == nil {
+		b = &bucket{tokens: math.Max(1, l.set.Burst)}
+	}
+	if len(l.new) >= max(1, l.set.Clients/2) {
+		l.old, l.new = l.new, map[netip.Prefix]*bucket{}
+	}
+	l.new[p] = b
+	return b
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 	lost    uint64 // datagrams that found the queue full
 	out     []reactor.Packet
 	numbers *numbers
+	door    *door
 	ended   <-chan struct{}
 }
 
@@ -97,6 +98,12 @@
 		}
 	}
 	g.edge = edge.New(&set.Config, mk, g)
+	if set.Front.Listen.IsValid() {
+		if g.door, err = g.openDoor(); err != nil {
+			return Forced, fmt.Errorf("gateway %s: %w", set.Name, err)
+		}
+		defer g.door.close()
+	}
 	if log.GetLevel() <= zerolog.DebugLevel {
 		g.edge.OnFate = func(f edge.Fate) {
 			log.Debug().Str("contact", f.Session).Str("skill", f.Skill).Int("answer", f.Answer).Int("rings", f.Rings).
@@ -124,6 +131,18 @@
 	}()
 	log.Info().Str("sip", set.Self.String()).Int("number", set.Set.Me).Msg("gateway runs")
 	out := g.loop(stop)
+	if g.door != nil {
+		g.door.front.Close(g.now())
+		f := g.door.front.Counts
+		log.Info().Uint64("asked", f.Asked).Uint64("named", f.Named).Uint64("none", f.None).Uint64("failed", f.Failed).Uint64("repeats", f.Repeats).
+			Uint64("refused", f.Refused).Uint64("slipped", f.Slipped).Uint64("dropped", f.Dropped).Uint64("truncated", f.Truncated).Msg("look-ups answered")
+	}
+	if g.numbers != nil && g.numbers.client != nil {
+		l, p := g.numbers.client.Counts, g.numbers.finder.Counts
+		log.Info().Uint64("asked", l.Asked).Uint64("cached", l.Cached).Uint64("stale", l.Stale).Uint64("shared", l.Shared).Uint64("sent", l.Sent).
+			Uint64("streams", l.Streams).Uint64("failed", l.Failed).Uint64("late", l.Late).Uint64("strays", l.Strays).Uint64("lame", l.Lame).
+			Uint64("ported", p.Ported).Uint64("same", p.Same).Uint64("silent", p.Silent).Uint64("bad", p.Bad).Msg("look-ups made")
+	}
 	cancel()
 	<-done
 	c := g.edge.Counts
--- a/gateway/numbers_test.go
+++ b/gateway/numbers_test.go
@@ -11,12 +11,14 @@
 	"testing"
 	"time"
 
+	"github.com/miekg/dns"
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"cobaltpier/api"
+	"cobaltpier/enum"
 	"cobaltpier/lab/names"
 	"cobaltpier/number"
 	"cobaltpier/settings"
@@ -127,6 +129,13 @@
   apex = "e164.test"
   servers = [%q]
 }
+front {
+  listen = "127.72.0.11:19093"
+  apex = "kiosk.test"
+  client "127.0.0.0/8" {
+    rate = 1000
+  }
+}
 `, list, table(1, "TG-0"), filepath.Join(dir, "store"), admin, server.Addr())))
 		if err != nil {
 			t.Fatal(err)
@@ -159,6 +168,33 @@
 	}
 	run()
 	call("sip:+71418555")
+	look := func(net string, number int) *dns.Msg {
+		t.Helper()
+		m := new(dns.Msg)
+		d, _ := enum.Domain(fmt.Sprint(number), "kiosk.test")
+		m.SetQuestion(d, dns.TypeNAPTR)
+		m.SetEdns0(1232, false)
+		out, _, err := (&dns.Client{Net: net, Timeout: 5 * time.Second}).Exchange(m, "127.72.0.11:19093")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return out
+	}
+	for i, net := range []string{"udp", "tcp", "udp"} {
+		var m *dns.Msg
+		for range 100 { // the switch here answers nothing: the module may defer
+			if m = look(net, 14185550100+i); len(m.Answer) > 0 {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if len(m.Answer) != 1 || !strings.Contains(m.Answer[0].String(), ";npdi;rn=+15145550000;tgrp=TG-0;trunk-context=x.example@127.72.0.19:19062!") {
+			t.Errorf("a look-up by %s: %v", net, m)
+		}
+	}
+	if m := look("udp", 33123); m.Rcode != dns.RcodeNameError {
+		t.Errorf("a number without a rule: %v", m)
+	}
 	conn, err := grpc.NewClient(admin, grpc.WithTransportCredentials(insecure.NewCredentials()))
 	if err != nil {
 		t.Fatal(err)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"cobaltpier/conf"
 	"cobaltpier/contact"
 	"cobaltpier/edge"
+	"cobaltpier/front"
 	"cobaltpier/intake"
 	"cobaltpier/resolve"
 	"cobaltpier/signal"
@@ -23,6 +24,7 @@
 	Console     bool   // logs for a person, not JSON
 	DrainWithin float64
 	Numbers     Numbers
+	Front       Front
 	Queue       int // datagrams that may wait for the loop
 }
 
@@ -36,6 +38,12 @@
 	Services []string
 }
 
+// Front is where the edge answers look-ups, and how.
+type Front struct {
+	front.Config
+	Listen netip.AddrPort // UDP and TCP; not valid: nowhere
+}
+
 // On tells whether the edge analyses numbers.
 func (n *Numbers) On() bool { return n.Table != "" || n.Store != "" }
 
@@ -180,4 +188,37 @@
 		n.Fault("", "enum: want numbers { table = ... } that asks for something")
 	}
 	s.Numbers.Resolve = r
+	for _, f := range b.Blocks("front", 0) {
+		s.front(f)
+	}
+}
+
+// front reads how look-ups are answered.
+func (s *Edge) front(f *conf.Block) {
+	c := &s.Front
+	if c.Listen.IsValid() {
+		f.Fault("", "front: stands here twice")
+	}
+	c.Listen, c.Apex, c.Context = f.Addr("listen"), f.Must("apex"), s.Context
+	c.Skill = f.Text("skill", s.Default)
+	c.TTL, c.Negative = uint32(f.Int("ttl", 0, 0, 86400)), uint32(f.Int("negative", 30, 0, 86400))
+	c.Patience, c.Repeat = f.Ms("patience", 3000, 100, 60000), f.Ms("repeat", 5000, 0, 60000)
+	c.Gain = f.Num("gain", 6, 1, 1000)
+	c.Most, c.Keep = f.Int("most", 2000, 1, 1<<20), f.Int("keep", 10000, 1, 1<<20)
+	c.Limits = front.Limits{Rate: f.Num("rate", 50, 0, 1e6), Burst: f.Num("burst", 100, 1, 1e6), Total: f.Num("total_rate", 0, 0, 1e7),
+		Clients: f.Int("clients", 100000, 2, 1<<24)}
+	for _, n := range f.Blocks("client", 1) {
+		p, err := netip.ParsePrefix(n.Labels[0])
+		if err != nil {
+			n.Fault("", "client %q: want a network such as \"10.1.0.0/16\"", n.Labels[0])
+		}
+		c.Limits.Nets = append(c.Limits.Nets, front.Net{Prefix: p, Rate: n.Num("rate", conf.Required, 0, 1e6)})
+	}
+	known := false
+	for _, k := range s.Set.Skills {
+		known = known || k.Name == c.Skill
+	}
+	if !known {
+		f.Fault("skill", "skill: want one of the skills, got %q", c.Skill)
+	}
 }
