--- a/check/check.go
+++ b/check/check.go
@@ -33,6 +33,7 @@
 // Totals are what the capture held.
 type Totals struct {
 	Contacts, Answers, Rings, Repeats, Datagrams int
+	Looks, Named, KioskCalls                     int     // look-ups of kiosks, those answered with a pool, their calls
 	ColdUse                                      float64 // the largest part of a cold budget used by gateways that knew
 }
 
@@ -60,6 +61,8 @@
 	stopped  map[string]bool
 	killed   map[string]float64
 	starts   map[string][]*start // by address
+	looks    map[string]*look
+	named    map[string][]float64 // by kiosk and pool: when it was named and not called yet
 	last     float64
 }
 
@@ -111,7 +114,7 @@
 	return &Checker{Parse: signal.Parse, rules: &api.Rules{}, nodes: map[string]*api.Node{}, contacts: map[string]*contact{},
 		byTx: map[string]*ring{}, byDialog: map[string]*ring{}, answers: map[string]*contact{},
 		listed: map[string]map[string]*place{}, stopped: map[string]bool{}, killed: map[string]float64{},
-		starts: map[string][]*start{}}
+		starts: map[string][]*start{}, looks: map[string]*look{}, named: map[string][]float64{}}
 }
 
 func (k *Checker) broke(rule int, c *contact, what string, args ...any) {
@@ -215,14 +218,23 @@
 }
 
 func (k *Checker) datagram(at float64, d *api.Datagram) {
+	from, to := k.nodes[d.From], k.nodes[d.To]
+	switch {
+	case from == nil || to == nil:
+		return
+	case from.Role == "front" || to.Role == "front":
+		k.lookup(at, d, from, to)
+		return
+	case from.Role == "kiosk-phone" || to.Role == "kiosk-phone":
+		if to.Role == "switch" {
+			k.kioskCalls(at, d, from)
+		}
+		return
+	}
 	m, err := k.Parse(d.Data)
 	if err != nil {
 		return // not SIP: other gateways' messages, garbage
 	}
-	from, to := k.nodes[d.From], k.nodes[d.To]
-	if from == nil || to == nil {
-		return
-	}
 	branch, _ := m.Via().Params.Get("branch")
 	id := string(*m.CallID())
 	switch {
--- a/lab/day/day.go
+++ b/lab/day/day.go
@@ -47,9 +47,10 @@
 	Findings []check.Finding
 	Totals   check.Totals
 	Tables   *check.Tables // nil: no number tables
-	Exits    []string      // gateways that did not end as they should
-	Lost     uint64        // datagrams that sockets did not take
-	Late     float64       // ms: the most that the stand-ins ran behind the clock
+	Kiosks   stage.KioskService
+	Exits    []string // gateways that did not end as they should
+	Lost     uint64   // datagrams that sockets did not take
+	Late     float64  // ms: the most that the stand-ins ran behind the clock
 	Dir      string
 }
 
@@ -176,6 +177,7 @@
 	res = &Result{Dir: r.o.Dir}
 	r.progress(res)
 	w.RunReal(s.Length+12000, ctx.Done())
+	res.Kiosks = r.st.KioskService()
 	res.Service = r.st.Service() // before the gateways drain: that releases calls that would have gone on
 	if o.Say != nil {
 		o.Say("the day is over; gateways drain")
@@ -241,6 +243,9 @@
 	}
 	for _, g := range st.Gateways {
 		g.Node.Real = func(to, from netip.AddrPort, data []byte) { r.sockets.Send(from, to, data) }
+		if g.FrontAt != nil {
+			g.FrontAt.Real = g.Node.Real
+		}
 	}
 	if r.list, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return fmt.Errorf("day: pool list: %w", err)
@@ -352,6 +357,16 @@
 	if st.Names != nil {
 		b.WriteString(r.numberSettings(i))
 	}
+	if g.FrontAt != nil {
+		f := st.FrontConfig()
+		p("front {\n  listen = %q\n  apex = %q\n  skill = %q\n  negative = %d\n  patience = %q\n  repeat = %q\n  gain = %g\n  most = %d\n  keep = %d", g.Front, f.Apex, f.Skill,
+			f.Negative, ms(f.Patience), ms(f.Repeat), f.Gain, f.Most, f.Keep)
+		p("  rate = %g\n  burst = %g\n  clients = %d", f.Limits.Rate, f.Limits.Burst, f.Limits.Clients)
+		for _, n := range f.Limits.Nets {
+			p("  client %q {\n    rate = %g\n  }", n.Prefix, n.Rate)
+		}
+		p("}")
+	}
 	return b.String()
 }
 
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -52,6 +52,7 @@
 	Series   *Series
 	Tables   *check.Tables // nil: no number tables
 	LookUps  resolve.Counts
+	Kiosks   stage.KioskService
 	Sum      uint64
 	Spent    time.Duration
 }
@@ -109,7 +110,7 @@
 	v := stage.NewVirtual(st, mk)
 	st.World.Run(s.Length + After)
 	k.Finish()
-	res.Service, res.Findings, res.Totals, res.Tables, res.LookUps = st.Service(), k.Findings, k.Totals, tables, v.LookUps()
+	res.Service, res.Findings, res.Totals, res.Tables, res.LookUps, res.Kiosks = st.Service(), k.Findings, k.Totals, tables, v.LookUps(), st.KioskService()
 	if ser != nil {
 		res.Series = ser.done(st, k.Cold)
 	}
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -30,6 +30,7 @@
 	Callers  Callers
 	List     List
 	Numbers  Numbers
+	Kiosks   Kiosks
 	Troubles []Trouble
 	Calls    []*api.Call `json:"-"` // of a trace, in place of Load
 }
@@ -105,6 +106,17 @@
 	Stale               float64 // answers that ran out are served so long
 }
 
+// Kiosks ask by ENUM which switch to call, and call it themselves.
+type Kiosks struct {
+	Rate    float64 // contacts a second at all gateways; 0: there are none
+	Hold    float64
+	Loss    float64 // of datagrams between them and the gateways
+	Wait    float64 // then a question is repeated
+	Repeats int
+	Asks    int     // questions anew after a failure
+	Flood   float64 // questions a second with forged addresses at the first gateway
+}
+
 // Analyses tells whether the gateways analyse numbers. Calls of a trace name their trunk groups themselves.
 func (s *Script) Analyses() bool { return s.Numbers.On && len(s.Calls) == 0 }
 
@@ -216,6 +228,10 @@
 			Cache: n.Flag("cache", true), Alone: n.Flag("alone", false), Stale: n.Ms("stale", 600e3, 0, day), Fail: n.Ms("fail", 1000, 0, day),
 			Popular: n.Num("popular", 1, 1, 100), Refuse: n.Text("silent", "route", "route", "refuse") == "refuse"}
 	}
+	for _, n := range b.Blocks("kiosks", 0) {
+		s.Kiosks = Kiosks{Rate: n.Num("rate", 100, 0, 1e6), Hold: n.Ms("hold", 5000, 1, day), Loss: n.Num("loss", 0, 0, 1), Wait: n.Ms("wait", 1000, 1, day),
+			Repeats: n.Int("repeats", 1, 0, 10), Asks: n.Int("asks", 2, 0, 10), Flood: n.Num("flood", 0, 0, 1e6)}
+	}
 	for _, t := range b.Blocks("trouble", 1) {
 		x := Trouble{Kind: t.Labels[0], At: t.Ms("at", conf.Required, 0, day), For: t.Ms("for", 10000, 0, day),
 			Part: t.Num("part", 0.25, 0, 1), Size: t.Num("size", 2, 0, 1000), Region: t.Text("region", "")}
--- a/lab/stage/numbers_test.go
+++ b/lab/stage/numbers_test.go
@@ -84,3 +84,25 @@
 		})
 	}
 }
+
+// Kiosks ask which switch to call while switches drain and are replaced, one dies, gateways are killed and stand still and datagrams
+// are lost: one answer a look-up, none that names a switch known to drain, no call to one that was not just named, and cold
+// switches are not pushed over by callers and kiosks together.
+func TestKiosks(t *testing.T) {
+	st, v, k, _ := numbersDay(t, func(s *script.Script) {
+		s.Kiosks = script.Kiosks{Rate: 120, Hold: 4000, Loss: 0.05, Wait: 800, Repeats: 2, Asks: 2}
+		s.Troubles = []script.Trouble{{Kind: "deploy", At: 3000, For: 3000, Part: 0.67}, {Kind: "silent", At: 7000, For: 2000, Part: 0.3},
+			{Kind: "restart", At: 5000, For: 1000, Part: 0.25}, {Kind: "stall", At: 9000, For: 2000, Part: 0.5, Size: 0.8}}
+	})
+	sv := st.KioskService()
+	sv.Waits = nil
+	t.Logf("%+v, %+v", sv, k.Totals)
+	if sv.Visits < 1200 || float64(sv.Named) < 0.85*float64(sv.Visits) || float64(sv.Stood) < 0.85*float64(sv.Named) {
+		t.Errorf("%+v", sv)
+	}
+	for _, b := range v.Edges {
+		if b.front.Open() > 10000 {
+			t.Errorf("%d answers are kept", b.front.Open())
+		}
+	}
+}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -19,6 +19,7 @@
 	"cobaltpier/intake"
 	"cobaltpier/lab/caller"
 	"cobaltpier/lab/core"
+	"cobaltpier/lab/kiosk"
 	"cobaltpier/lab/plan"
 	"cobaltpier/lab/script"
 	"cobaltpier/lab/world"
@@ -47,6 +48,11 @@
 	Region  string
 	Callers *caller.Callers
 	callers *world.Node
+	Kiosks  *kiosk.Kiosks  // nil: none
+	Front   netip.AddrPort // where look-ups are answered
+	FrontAt *world.Node    // nil: nowhere
+	kiosks  *world.Node
+	phones  map[netip.AddrPort]*phone
 	Node    *world.Node
 	have    uint64
 	deaf    bool // no list reaches it
@@ -148,6 +154,7 @@
 	st.version = 1
 	st.openNames()
 	st.plan()
+	st.openKiosks()
 	for _, t := range s.Troubles {
 		st.trouble(t)
 	}
@@ -164,6 +171,11 @@
 	for _, g := range st.Gateways {
 		of = append(of, g.callers.Addr)
 	}
+	for _, g := range st.Gateways {
+		if g.kiosks != nil {
+			of = append(of, g.kiosks.Addr)
+		}
+	}
 	for _, p := range st.places {
 		of = append(of, p.addr)
 		for n := 1; n < 4; n++ {
@@ -194,6 +206,8 @@
 		r.What = v
 	case *api.Record_Listing:
 		r.What = v
+	case *api.Record_Datagram:
+		r.What = v
 	}
 	st.Record(r)
 }
@@ -217,12 +231,20 @@
 	if a.Region == b.Region {
 		l.Delay = n.Same
 	}
-	if st.isCaller(a) || st.isCaller(b) {
+	if st.isKiosk(a) || st.isKiosk(b) {
+		l.Loss += st.Script.Kiosks.Loss
+		return l
+	}
+	if (st.isCaller(a) || st.isCaller(b)) && !st.isSwitch(a) && !st.isSwitch(b) {
 		return world.Link{Delay: n.Caller}
 	}
 	return l
 }
 
+func (st *Stage) isSwitch(n *world.Node) bool { _, ok := n.Machine.(*core.Switch); return ok }
+
+func (st *Stage) isKiosk(n *world.Node) bool { _, ok := n.Machine.(*kiosk.Kiosks); return ok }
+
 func (st *Stage) isCaller(n *world.Node) bool { _, ok := n.Machine.(*caller.Callers); return ok }
 
 // boot starts a switch process at a place.
--- a/lab/stage/virtual.go
+++ b/lab/stage/virtual.go
@@ -6,6 +6,7 @@
 
 	"cobaltpier/api"
 	"cobaltpier/edge"
+	"cobaltpier/front"
 	"cobaltpier/host"
 	"cobaltpier/listing"
 )
@@ -24,7 +25,8 @@
 	g       *Gateway
 	pending []func(now float64)
 	births  uint64
-	look    *lookUps // of this process, nil: it looks nothing up
+	front   *front.Front // nil: it answers no look-ups
+	look    *lookUps     // of this process, nil: it looks nothing up
 }
 
 // epoch is when virtual days begin: a Thursday noon, for times of day.
@@ -57,6 +59,11 @@
 		st.TableIn(b.g.Number, st.Names.Version)
 	}
 	b.Edge = edge.New(cfg, b.v.Make, b)
+	b.front = nil
+	if b.g.FrontAt != nil {
+		b.front = front.New(b.v.Stage.FrontConfig(), b.Edge)
+		b.g.FrontAt.Machine = &door{b}
+	}
 }
 
 // Send implements edge.Out.
--- a/labcmd/labcmd.go
+++ b/labcmd/labcmd.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"sort"
 	"strings"
 	"syscall"
 	"time"
@@ -199,7 +200,7 @@
 			return nil, err
 		}
 	}
-	return &day.Result{Service: r.Service, Findings: r.Findings, Totals: r.Totals, Tables: r.Tables}, nil
+	return &day.Result{Service: r.Service, Findings: r.Findings, Totals: r.Totals, Tables: r.Tables, Kiosks: r.Kiosks}, nil
 }
 
 const serviceHead = "whole  worst10s  worst skill            worst customer         offered   late    cut  unserved  p50 ms  p99 ms  cold  behind  rules"
@@ -275,6 +276,11 @@
 			fmt.Fprintln(out, "    ", f)
 		}
 	}
+	if s := r.Kiosks; s.Visits > 0 {
+		sort.Float64s(s.Waits)
+		fmt.Fprintf(out, "\nKiosks: %d came and asked by ENUM, %d times; %d had a switch named, %d of them stood, %d were cut; %d questions had no answer\n  from coming to the name: p50 %.0f ms, p99 %.0f ms\n",
+			s.Visits, r.Totals.Looks, s.Named, s.Stood, s.Cut, s.Silent, at(s.Waits, 0.5), at(s.Waits, 0.99))
+	}
 	if t := r.Tables; t != nil {
 		verdict := "all"
 		if n := len(t.Findings); n > 0 {
