--- a/labcmd/labcmd.go
+++ b/labcmd/labcmd.go
@@ -37,7 +37,7 @@
 Start with "cobalt-lab try". Status 0: all went well; 1: something failed; 3: a rule was broken.`, SilenceUsage: true, SilenceErrors: true}
 	edge := edgecmd.New()
 	edge.Use, edge.Hidden = "edge", true
-	root.AddCommand(try(), dayCmd(), show(), judge(), throughput(), design(), echo(), fleetCmd(), compare(), huntCmd(), loadCmd(), traceCmd(), numbercmd.New(), digitsCmd(), lookups(), edge)
+	root.AddCommand(try(), dayCmd(), show(), judge(), throughput(), design(), echo(), fleetCmd(), compare(), huntCmd(), loadCmd(), traceCmd(), numbercmd.New(), digitsCmd(), swap(), lookups(), edge)
 	return root
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -45,6 +45,56 @@
 	}
 }
 
+const more = `numbers {
+  table = "t.hcl"
+}
+enum {
+  apex = "e164.test"
+  servers = ["127.0.0.1:5353"]
+}
+front {
+  listen = "127.0.0.1:5354"
+  apex = "kiosk.test"
+  client "10.1.0.0/16" {
+    rate = 0
+  }
+}
+`
+
+func TestNumbers(t *testing.T) {
+	s, err := Parse("edge.hcl", []byte(good+more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := s.Front
+	if !s.Numbers.On() || s.Share != 0.3 || len(s.Numbers.Resolve.Servers) != 1 || s.Numbers.Resolve.Cache.Fail != 1000 || s.Numbers.Services[0] != "pstn:tel" ||
+		f.Skill != "shift-lookup" || f.TTL != 0 || f.Patience != 3000 || f.Context != "x.example" || len(f.Limits.Nets) != 1 || f.Limits.Nets[0].Rate != 0 {
+		t.Errorf("%+v, %+v", s.Numbers, f)
+	}
+	for _, x := range []struct{ from, to, want string }{
+		{`servers = ["127.0.0.1:5353"]`, ``, `edge.hcl:30: enum: want apex and servers, or neither`},
+		{`["127.0.0.1:5353"]`, `["ns.test"]`, `edge.hcl:32: servers: want addresses such as "127.0.0.1:5353", got "ns.test"`},
+		{`table = "t.hcl"`, ``, `enum: want numbers { table = ... }`},
+		{`apex = "kiosk.test"`, `apex = "kiosk.test"
+  skill = "nothing"`, `edge.hcl:38: skill: want one of the skills, got "nothing"`},
+		{`"10.1.0.0/16"`, `"10.1.0.0/40"`, `client "10.1.0.0/40": want a network such as "10.1.0.0/16"`},
+		{`rate = 0`, ``, `want rate = a number`},
+		{`listen = "127.0.0.1:5354"`, `listen = "5354"`, `edge.hcl:36: listen: want an address`},
+		{`front {`, `front {
+  gain = 0`, `edge.hcl:36: gain: want a number from 1`},
+		{`numbers {`, `numbers {
+  lookup_share = 2`, `edge.hcl:29: lookup_share: want a number from 0 to 1`},
+	} {
+		text := strings.Replace(good+more, x.from, x.to, 1)
+		if text == good+more {
+			t.Fatalf("%q is not in the settings", x.from)
+		}
+		if _, err := Parse("edge.hcl", []byte(text)); err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%q: error\n%v\nwant\n%s", x.to, err, x.want)
+		}
+	}
+}
+
 // Each fault is told with file, line and what was expected; all of a file at once.
 func TestFaults(t *testing.T) {
 	for _, x := range []struct{ from, to, want string }{
