--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -72,8 +72,8 @@
 		t.Errorf("%+v, %+v", s.Numbers, f)
 	}
 	for _, x := range []struct{ from, to, want string }{
-		{`servers = ["127.0.0.1:5353"]`, ``, `edge.hcl:30: enum: want apex and servers, or neither`},
-		{`["127.0.0.1:5353"]`, `["ns.test"]`, `edge.hcl:32: servers: want addresses such as "127.0.0.1:5353", got "ns.test"`},
+		{`servers = ["127.0.0.1:5353"]`, ``, `edge.hcl:31: enum: want apex and servers, or neither`},
+		{`["127.0.0.1:5353"]`, `["ns.test"]`, `edge.hcl:33: servers: want addresses such as "127.0.0.1:5353", got "ns.test"`},
 		{`table = "t.hcl"`, ``, `enum: want numbers { table = ... }`},
 		{`apex = "kiosk.test"`, `apex = "kiosk.test"
   skill = "nothing"`, `edge.hcl:38: skill: want one of the skills, got "nothing"`},
