--- a/edge/analysis_test.go
+++ b/edge/analysis_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
+	"weak"
 
 	"github.com/emiago/sipgo/sip"
 
@@ -185,6 +187,32 @@
 	}
 }
 
+// An old table is gone from memory when the last contact that carries it has its answer, and not before.
+func TestTableLetGo(t *testing.T) {
+	r, b := numberRig(t)
+	r.m.offered = func(_ float64, c *contact.Contact) { r.m.h.Defer(c, 0) }
+	old := func() weak.Pointer[number.Table] {
+		x := numbers(t, 2)
+		r.e.Use(x)
+		return weak.Make(x)
+	}()
+	r.get(caller, callerSays("INVITE", "a1", ""))
+	r.e.Use(numbers(t, 3))
+	runtime.GC()
+	if old.Value() == nil {
+		t.Fatal("gone while a contact carries it")
+	}
+	b.done[0](r.now, number.NotPorted, "")
+	r.sent(caller, "SIP/2.0 503")
+	b.done = nil
+	r.pass(100) // its transaction goes on
+	runtime.GC()
+	runtime.GC()
+	if old.Value() != nil {
+		t.Error("still there")
+	}
+}
+
 // What a table refuses is answered at once and asks for nothing, and so is a number that is none; a route that this edge
 // does not have is a fault of its own.
 func TestRefused(t *testing.T) {
