--- a/edge/analysis_test.go
+++ b/edge/analysis_test.go
@@ -187,10 +187,11 @@
 	}
 }
 
-// An old table is gone from memory when the last contact that carries it has its answer, and not before.
+// An old table is gone from memory when the last contact that carries it has its answer, and not before; calls that stand
+// need none.
 func TestTableLetGo(t *testing.T) {
 	r, b := numberRig(t)
-	r.m.offered = func(_ float64, c *contact.Contact) { r.m.h.Defer(c, 0) }
+	r.m.offered = func(now float64, c *contact.Contact) { r.m.h.Ring(c, r.m.pools[1], c.Until-now) }
 	old := func() weak.Pointer[number.Table] {
 		x := numbers(t, 2)
 		r.e.Use(x)
@@ -203,14 +204,17 @@
 		t.Fatal("gone while a contact carries it")
 	}
 	b.done[0](r.now, number.NotPorted, "")
-	r.sent(caller, "SIP/2.0 503")
 	b.done = nil
-	r.pass(100) // its transaction goes on
+	r.answer(switchB, r.sent(switchB, "INVITE"), 200, "s1", "")
+	r.sent(caller, "SIP/2.0 200")
 	runtime.GC()
 	runtime.GC()
 	if old.Value() != nil {
 		t.Error("still there")
 	}
+	if _, standing := r.e.Held(); standing != 1 {
+		t.Errorf("%d stand", standing)
+	}
 }
 
 // What a table refuses is answered at once and asks for nothing, and so is a number that is none; a route that this edge
