--- a/number/form_test.go
+++ b/number/form_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"cobaltpier/api"
+	"cobaltpier/enum"
 )
 
 func form(t *testing.T) *api.NumberTable {
@@ -195,3 +196,36 @@
 		Diff(x, x)
 	})
 }
+
+// Whatever is dialled is digits that a look-up can be made of, or an error; and what it was made of again gives itself.
+func FuzzNumber(f *testing.F) {
+	f.Add("+1 (418) 555-1234", "1", "npdi;rn=+1514")
+	f.Add("0041", "41", "rn=5;rn-context=+1")
+	f.Add("tel:+1", "", ";;=;")
+	f.Fuzz(func(t *testing.T, dialled, country, params string) {
+		if strings.Trim(country, "0123456789") != "" || len(country) > 4 {
+			return // a table with such a country is refused
+		}
+		n, err := Normal(dialled, country)
+		if err != nil {
+			return
+		}
+		if strings.Trim(n, "0123456789") != "" || n == "" || len(n) > mostDigits+len(country) {
+			t.Errorf("%q: %q", dialled, n)
+		}
+		if again, err := Normal("+"+n, country); len(n) <= mostDigits && (err != nil || again != n) {
+			t.Errorf("%q: %q, then %q, %v", dialled, n, again, err)
+		}
+		if len(n) <= mostDigits {
+			d, err := enum.Domain(n, "e164.test")
+			if back, err2 := enum.Number(d, "e164.test"); err != nil || err2 != nil || back != n {
+				t.Errorf("%q: %q, %v, %v", n, d, err, err2)
+			}
+		}
+		if p, err := enum.Params(params); err == nil && p.Routing != "" {
+			if strings.ContainsAny(p.Routing, ";@<> \r\n") {
+				t.Errorf("%q: routing number %q", params, p.Routing)
+			}
+		}
+	})
+}
