--- a/resolve/resolve.go
+++ b/resolve/resolve.go
@@ -8,6 +8,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"strings"
 
 	"github.com/miekg/dns"
@@ -196,7 +197,7 @@
 		f = &flight{name: name, key: name}
 		if c.cfg.Alone {
 			c.seq++
-			f.key += string(rune('a'+c.seq%26)) + chanceKey(c.seq)
+			f.key += " " + strconv.FormatUint(c.seq, 10)
 		}
 		if !c.send(f) { // no server is worth a question
 			c.Counts.Down++
@@ -227,15 +228,6 @@
 	}
 }
 
-func chanceKey(n uint64) string {
-	var b [8]byte
-	for i := range b {
-		b[i] = byte('a' + n%16)
-		n /= 16
-	}
-	return string(b[:])
-}
-
 func (k *kept) answer(stale bool) Answer {
 	a := Answer{Status: Found, Rules: k.rules, Stale: stale, Cached: true}
 	if len(k.rules) == 0 {
