--- a/check/check.go
+++ b/check/check.go
@@ -191,6 +191,7 @@
 	case "edge-stop":
 		k.stopped[m.Who] = true
 	case "edge-go": // what was delivered while it stood still it could hear from now on
+		k.looksOf(at, m)
 		k.stopped[m.Who] = false
 		for _, p := range k.listed[m.Who] {
 			p.since = math.Max(p.since, at)
@@ -204,6 +205,9 @@
 			}
 		}
 	case "edge-kill", "edge-start": // what it held is no longer its duty; a repeat that reaches the next process is new there
+		if m.What == "edge-kill" {
+			k.looksOf(at, m)
+		}
 		if m.What == "edge-kill" {
 			k.killed[m.Who] = at
 		}
--- a/lab/hunt/hunt.go
+++ b/lab/hunt/hunt.go
@@ -19,11 +19,14 @@
 // Find is a day that stands out.
 type Find struct {
 	Script *script.Script
-	Rule   int     // the broken rule; 0: none, a day of bad service
+	Rule   int     // the broken rule; 0: none, a day of bad service; Tables: a contact by another number table than its own
 	What   string  // the first finding
 	Score  float64 // how bad: 10 and more for a broken rule
 }
 
+// Tables stands in place of a rule's number.
+const Tables = 6
+
 // Options say how to hunt.
 type Options struct {
 	Days  int
@@ -77,9 +80,40 @@
 	for range whole(1, 4) {
 		s.Troubles = append(s.Troubles, trouble(n, s))
 	}
+	if n.Chance() < 0.5 {
+		numbers(n, s)
+	}
 	return s
 }
 
+// namesKinds are the troubles of DNS servers.
+var namesKinds = []struct {
+	name   string
+	lo, hi float64
+}{{"names_silent", 1, 1}, {"names_slow", 0.05, 2}, {"names_lossy", 0.1, 0.9}, {"names_spoofed", 1, 40}, {"names_cut", 0.1, 1}, {"names_lame", 1, 1},
+	{"names_wrong", 0.1, 1}}
+
+// numbers lets a day's gateways analyse numbers, with tables that change and DNS servers that fail, and maybe kiosks that ask
+// in place of a part of the callers.
+func numbers(n *signal.Names, s *script.Script) {
+	in := func(lo, hi float64) float64 { return lo + (hi-lo)*n.Chance() }
+	some := func(of ...float64) float64 { return of[int(n.Chance()*float64(len(of)))] }
+	s.Numbers = script.Numbers{On: true, Change: some(0, 300, 1000, 3000), Ported: in(0, 0.6), None: in(0, 0.3), Leads: in(0, 0.6), TTL: some(0, 1000, 60000),
+		Delay: in(0, 40), Jitter: in(0, 60), Servers: 1 + int(n.Chance()*3), Within: in(50, 2500), Share: in(0.05, 0.9), Popular: some(1, 3, 8), Cache: n.Chance() < 0.8,
+		Refuse: n.Chance() < 0.5, Stale: some(0, 600e3), Fail: some(0, 1000)}
+	for range int(n.Chance() * 3) {
+		k := namesKinds[int(n.Chance()*float64(len(namesKinds)))]
+		s.Troubles = append(s.Troubles, script.Trouble{Kind: k.name, At: 500 + n.Chance()*s.Length*0.6, For: 300 + n.Chance()*s.Length*0.5, Part: 0.1 + 0.9*n.Chance(),
+			Size: in(k.lo, k.hi)})
+	}
+	if n.Chance() < 0.6 {
+		part := in(0.1, 0.9)
+		s.Kiosks = script.Kiosks{Rate: s.Load.Rate * part, Hold: in(1000, 6000), Loss: some(0, 0.02, 0.2), Wait: in(200, 1500), Repeats: int(n.Chance() * 4),
+			Asks: int(n.Chance() * 4)}
+		s.Load.Rate *= 1 - part
+	}
+}
+
 func trouble(n *signal.Names, s *script.Script) script.Trouble {
 	k := kinds[int(n.Chance()*float64(len(kinds)))]
 	t := script.Trouble{Kind: k.name, At: 500 + n.Chance()*s.Length*0.6, For: 300 + n.Chance()*s.Length*0.5, Part: 0.1 + 0.8*n.Chance(), Size: k.lo + (k.hi-k.lo)*n.Chance()}
@@ -134,6 +168,8 @@
 	f := Find{Script: s, Score: 1 - r.Service.Whole}
 	if len(r.Findings) > 0 {
 		f.Rule, f.What, f.Score = r.Findings[0].Rule, r.Findings[0].String(), 10+float64(len(r.Findings))
+	} else if r.Tables != nil && len(r.Tables.Findings) > 0 {
+		f.Rule, f.What, f.Score = Tables, r.Tables.Findings[0], 10+float64(len(r.Tables.Findings))
 	} else if r.Service.Fell > 0 {
 		f.What = fmt.Sprintf("%d switches were pushed over", r.Service.Fell)
 	}
@@ -244,6 +280,16 @@
 	if s.Load.Rate > 4 {
 		add(func(c *script.Script) { c.Load.Rate /= 2 })
 	}
+	if s.Kiosks.Rate > 0 {
+		add(func(c *script.Script) { c.Kiosks = script.Kiosks{} })
+		add(func(c *script.Script) { c.Kiosks.Rate /= 2 })
+	}
+	if s.Numbers.On {
+		add(func(c *script.Script) { c.Numbers = script.Numbers{} })
+	}
+	if s.Numbers.Change > 0 {
+		add(func(c *script.Script) { c.Numbers.Change = 0 })
+	}
 	if s.Net != plain.Net {
 		add(func(c *script.Script) { c.Net = plain.Net })
 	}
