Routing numbers' contexts are numbers, found by fuzzing; a checker's allowance after truncation

Fuzzing found a tel URI whose rn-context was taken as it stood into a routing number; the analysis refused that later, as no digits. Now the parameters are refused where they are read.

--- a/check/kiosks.go
+++ b/check/kiosks.go
@@ -44,7 +44,7 @@
 	}
 	id := fmt.Sprintf("%s %d %s", client, m.Id, strings.ToLower(m.Question[0].Name))
 	x := k.looks[id]
-	if x != nil && !m.Response && (x.answers > 0 && at-x.answered > again || at-x.asked > 2*lookPatience) {
+	if x != nil && !m.Response && (x.answered > 0 && at-x.answered > again || at-x.asked > 2*lookPatience) {
 		x = nil // the id is used again
 	}
 	if x == nil {
@@ -68,10 +68,11 @@
 		x.questions++ // it is asked again over TCP, which is not seen here
 		return
 	}
-	if x.answers == 1 {
+	first := x.answered == 0
+	if first {
 		x.answered = at
 	}
-	if x.answers == 1 && at > x.due+k.rules.SlackMs { // a repeat gets it again
+	if first && at > x.due+k.rules.SlackMs { // a repeat gets it again
 		k.broke(1, x.c, "answered %.0f ms after it was asked", at-x.asked)
 	}
 	text := fmt.Sprint(m.Rcode, m.Answer)
--- a/enum/enum.go
+++ b/enum/enum.go
@@ -247,6 +247,9 @@
 			}
 			p.Routing = v
 		case "rn-context":
+			if n := strings.TrimPrefix(v, "+"); n == "" || strings.Trim(n, "0123456789-.()") != "" {
+				return Ported{}, fmt.Errorf("%w: rn-context=%s is no number", ErrBad, v)
+			}
 			context = v
 		case "cic":
 			p.Carrier = v
--- a/enum/enum_test.go
+++ b/enum/enum_test.go
@@ -88,6 +88,8 @@
 		{"tel:+1418;npdi;rn=1;rn=2", "", Ported{}, true},
 		{"tel:+1418;rn=abc", "", Ported{}, true},
 		{"tel:+1418;rn=", "", Ported{}, true},
+		{"tel:+1418;rn=5;rn-context=+1_x", "", Ported{}, true}, // found by fuzzing
+		{"tel:+1418;rn=5;rn-context=", "", Ported{}, true},
 		{"tel:alice", "", Ported{}, true},
 		{"sip:+1418@x", "", Ported{}, true},
 	} {
--- a/number/form_test.go
+++ b/number/form_test.go
@@ -202,6 +202,7 @@
 	f.Add("+1 (418) 555-1234", "1", "npdi;rn=+1514")
 	f.Add("0041", "41", "rn=5;rn-context=+1")
 	f.Add("tel:+1", "", ";;=;")
+	f.Add("0", "", "rn=5;rn-context=+_\x11\xefD@\xaf/wJ")
 	f.Fuzz(func(t *testing.T, dialled, country, params string) {
 		if strings.Trim(country, "0123456789") != "" || len(country) > 4 {
 			return // a table with such a country is refused
