--- a/lab/hunt/hunt.go
+++ b/lab/hunt/hunt.go
@@ -41,7 +41,7 @@
 type Result struct {
 	Days   int
 	Broken []Find
-	Worst  []Find // of service, the worst first, at most ten
+	Worst  []Find         // of service, the worst first, at most ten
 	Cold   float64        // the most of a cold budget that was used
 	At     *script.Script // on this day
 }
