--- a/front/front_test.go
+++ b/front/front_test.go
@@ -253,6 +253,17 @@
 	if a, s, _ := flood("10.1.0.1:1", 1000); a != 1000 || s != 0 {
 		t.Errorf("a known network: %d answered, %d truncated", a, s)
 	}
+	r.now += 5000 // it stands still: what came meanwhile comes at once
+	r.got = nil
+	for i := range 900 {
+		r.ask(netip.MustParseAddrPort("10.1.0.1:1"), query(name, dns.TypeNAPTR, uint16(2000+i), 1232), false)
+	}
+	for _, m := range r.got {
+		if m.Truncated {
+			t.Error("a known network is truncated after a standstill")
+			break
+		}
+	}
 	if a, _, x := flood("10.2.0.1:1", 100); a != 0 || x != 100 {
 		t.Errorf("a refused network: %d answered, %d refused", a, x)
 	}
--- a/front/limit.go
+++ b/front/limit.go
@@ -73,14 +73,14 @@
 // ask judges a question from an address.
 func (l *limiter) ask(now float64, from netip.Addr) Verdict {
 	from = from.Unmap()
-	rate := l.set.Rate
+	rate, burst := l.set.Rate, math.Max(1, l.set.Burst)
 	if r, ok := l.nets.Lookup(from); ok {
 		if r <= 0 {
 			return Refuse
 		}
-		rate = r
+		rate, burst = r, math.Max(burst, r) // after a standstill of ours a second's questions come at once
 	}
-	if rate > 0 && !l.client(from, rate).take(now, rate, math.Max(1, l.set.Burst)) {
+	if rate > 0 && !l.client(from, burst).take(now, rate, burst) {
 		return l.over()
 	}
 	if t := l.set.Total; t > 0 && !l.total.take(now, t, math.Max(1, t/10)) {
@@ -100,7 +100,7 @@
 
 // client is the bucket of an address's network. Two generations are kept, so that a flood of forged addresses takes no
 // more memory than that; what it makes us forget is only how much a network has left.
-func (l *limiter) client(from netip.Addr, rate float64) *bucket {
+func (l *limiter) client(from netip.Addr, burst float64) *bucket {
 	bits := 24
 	if from.Is6() {
 		bits = 56
@@ -114,7 +114,7 @@
 	}
 	b := l.old[p]
 	if b == nil {
-		b = &bucket{tokens: math.Max(1, l.set.Burst)}
+		b = &bucket{tokens: burst}
 	}
 	if len(l.new) >= max(1, l.set.Clients/2) {
 		l.old, l.new = l.new, map[netip.Prefix]*bucket{}
