--- a/check/kiosks.go
+++ b/check/kiosks.go
@@ -96,7 +96,7 @@
 	for id, x := range k.looks {
 		switch {
 		case x.c.edge != m.Who:
-		case m.What == "edge-kill":
+		case m.What != "edge-go": // killed, or started: what came between reached nobody
 			delete(k.looks, id)
 		case x.answers == 0:
 			x.due = math.Max(x.due, at+1000)
