Kiosks' numbers are global; a contact's record is held against the wire

Cause, found by reading: an ENUM domain holds a global number, but the front handed its digits on without a +, so a table with a country took a number of another country for a national one: 418555 became 1418555 and had a rule. Questions were also told apart by a 64-bit hash that a client can collide; now by client, id and name. A failed name is noted before those who asked hear of it.

The records of contacts named no table in the log and nothing compared them with the wire: they do now, and in virtual time each is held against the mark of its set-up (over 2,000 in TestTablesChange; a wrong record was seen to be found). Dead: Client.Up, sent.over, kiosks' flood.

--- a/check/tables.go
+++ b/check/tables.go
@@ -21,6 +21,7 @@
 	Parse    func([]byte) (sip.Message, error)
 	Contacts int // that were set up with a mark
 	Versions int // that were seen in use
+	Records  int // contacts whose own record was held against the wire
 	Findings []string
 	nodes    map[string]*api.Node
 	force    map[string]*force
@@ -144,6 +145,18 @@
 	return false
 }
 
+// Record holds a contact's own record against what it was set up with on the wire.
+func (k *Tables) Record(edge, session string, version uint64) {
+	mark, rung := k.marks[edge+" "+session]
+	if !rung {
+		return
+	}
+	k.Records++
+	if want := k.Mark(version); mark != want {
+		k.Findings = append(k.Findings, fmt.Sprintf("%s %s: its record says table %d, mark %s; it was set up with %s", edge, session, version, want, mark))
+	}
+}
+
 func (k *Tables) invite(at float64, d *api.Datagram) {
 	from, to := k.nodes[d.From], k.nodes[d.To]
 	if from == nil || to == nil {
--- a/check/tables_test.go
+++ b/check/tables_test.go
@@ -44,6 +44,14 @@
 			k.Add(r)
 		}
 		got := strings.Join(k.Findings, "; ")
+		if c.want == "" {
+			if k.Record("e", strings.Repeat("a", 32), k.byMark[k.marks["e "+strings.Repeat("a", 32)]]); len(k.Findings) != 0 || k.Records != 1 {
+				t.Errorf("%s: %v, %d records", name, k.Findings, k.Records)
+			}
+			if k.Record("e", strings.Repeat("a", 32), 99); len(k.Findings) != 1 {
+				t.Errorf("%s: a record of another table is not found", name)
+			}
+		}
 		if (got == "") != (c.want == "") || !strings.Contains(got, c.want) || k.Contacts != 1 {
 			t.Errorf("%s: %q, want %q; %d contacts", name, got, c.want, k.Contacts)
 		}
--- a/edge/analysis.go
+++ b/edge/analysis.go
@@ -163,7 +163,7 @@
 		return c
 	}, s)
 	if len(s) > 200 {
-		s = s[:200]
+		s = strings.ToValidUTF8(s[:200], "")
 	}
 	return s
 }
--- a/edge/enquiry.go
+++ b/edge/enquiry.go
@@ -27,7 +27,7 @@
 	done func(now float64, n Named)
 }
 
-// Enquire asks for the pool that a contact of a skill with a number would be sent to at this moment. done is called once,
+// Enquire asks for the pool that a contact of a skill with a number, as it would be dialled, would be sent to at this moment. done is called once,
 // within patience ms; what the module decides counts for drains and cold budgets as a ring does. stop takes the question
 // back.
 func (e *Edge) Enquire(now float64, number, skill string, patience float64, done func(now float64, n Named)) (stop func()) {
--- a/front/front.go
+++ b/front/front.go
@@ -4,8 +4,8 @@
 package front
 
 import (
+	"cmp"
 	"fmt"
-	"hash/fnv"
 	"maps"
 	"net/netip"
 	"slices"
@@ -48,12 +48,19 @@
 	cfg    Config
 	ask    Enquirer
 	limits *limiter
-	open   map[uint64]*question // by client, id and question
-	kept   []kept               // of those the answered, the oldest first
-	waits  int                  // those that wait
+	open   map[key]*question
+	kept   []kept // of those the answered, the oldest first
+	waits  int    // those that wait
 	now    float64
 }
 
+// key is what makes a question the same as another: who asks, its id, and what it asks for.
+type key struct {
+	from netip.AddrPort
+	id   uint16
+	name string
+}
+
 // question is one that waits for its answer, or whose answer is kept for repeats.
 type question struct {
 	replies []reply // what waits
@@ -62,7 +69,7 @@
 }
 
 type kept struct {
-	key   uint64
+	key   key
 	of    *question
 	until float64
 }
@@ -76,7 +83,7 @@
 // New makes a front.
 func New(cfg Config, ask Enquirer) *Front {
 	cfg.Apex = dns.Fqdn(strings.ToLower(cfg.Apex))
-	return &Front{cfg: cfg, ask: ask, limits: newLimiter(cfg.Limits), open: map[uint64]*question{}}
+	return &Front{cfg: cfg, ask: ask, limits: newLimiter(cfg.Limits), open: map[key]*question{}}
 }
 
 // forget lets go of answers whose time is over, and of the oldest where there are too many.
@@ -94,7 +101,11 @@
 // Open is how many questions are held.
 func (f *Front) Open() int { return len(f.open) }
 
-const leastSize = 512 // octets: what any client takes (RFC 1035 4.2.1)
+const (
+	leastSize   = 512  // octets: what any client takes (RFC 1035 4.2.1)
+	mostSize    = 1232 // octets: what goes by datagram without fragments, whatever a client says that it takes
+	mostReplies = 4    // repeats of a question that waits which get the answer too; a client that repeats more has it by then
+)
 
 // Receive takes a message; send replies to it, once at most. stream: it came over TCP.
 func (f *Front) Receive(now float64, from netip.AddrPort, data []byte, stream bool, send func([]byte)) {
@@ -123,7 +134,7 @@
 		}
 		r.size = leastSize
 		if e := m.IsEdns0(); e != nil {
-			r.size = int(max(leastSize, min(e.UDPSize(), 1232)))
+			r.size = int(max(leastSize, min(e.UDPSize(), mostSize)))
 		}
 		if f.cfg.Gain > 0 {
 			r.size = min(r.size, int(f.cfg.Gain*float64(len(data))))
@@ -164,12 +175,12 @@
 		f.nothing(r, dns.RcodeNameError)
 		return
 	}
-	key := keyOf(from, r.msg)
-	if x := f.open[key]; x != nil {
+	k := key{from, r.msg.Id, name}
+	if x := f.open[k]; x != nil {
 		f.Counts.Repeats++
 		switch {
 		case x.named == nil: // it has one contact, whatever is repeated
-			if len(x.replies) < 4 {
+			if len(x.replies) < mostReplies {
 				x.replies = append(x.replies, r)
 			}
 			return
@@ -177,7 +188,7 @@
 			f.answer(r, x.named)
 			return
 		}
-		delete(f.open, key) // the pool drains by now: the answer is decided anew
+		delete(f.open, k) // the pool drains by now: the answer is decided anew
 	}
 	if f.waits >= f.cfg.Most {
 		f.Counts.Failed++
@@ -185,9 +196,9 @@
 		return
 	}
 	x := &question{replies: []reply{r}}
-	f.open[key] = x
+	f.open[k] = x
 	f.waits++
-	stop := f.ask.Enquire(f.now, number, f.cfg.Skill, f.cfg.Patience, func(now float64, n edge.Named) {
+	stop := f.ask.Enquire(f.now, "+"+number, f.cfg.Skill, f.cfg.Patience, func(now float64, n edge.Named) {
 		f.now = now
 		f.waits--
 		x.named, x.stop = &n, nil
@@ -195,7 +206,7 @@
 			f.answer(r, &n)
 		}
 		x.replies = nil
-		f.kept = append(f.kept, kept{key, x, now + f.cfg.Repeat})
+		f.kept = append(f.kept, kept{k, x, now + f.cfg.Repeat})
 	})
 	if x.named == nil {
 		x.stop = stop
@@ -205,26 +216,21 @@
 // Close takes back all questions that wait and fails them.
 func (f *Front) Close(now float64) {
 	f.now = now
-	for _, key := range slices.Sorted(maps.Keys(f.open)) {
-		x := f.open[key]
+	for _, k := range slices.SortedFunc(maps.Keys(f.open), key.compare) {
+		x := f.open[k]
 		if x.stop != nil {
 			x.stop()
 			for _, r := range x.replies {
 				f.code(r, dns.RcodeServerFailure)
 			}
 		}
-		delete(f.open, key)
+		delete(f.open, k)
 	}
 	f.kept, f.waits = nil, 0
 }
 
-func keyOf(from netip.AddrPort, m *dns.Msg) uint64 {
-	h := fnv.New64a()
-	b, _ := from.MarshalBinary()
-	h.Write(b)
-	h.Write([]byte{byte(m.Id >> 8), byte(m.Id)})
-	h.Write([]byte(strings.ToLower(m.Question[0].Name)))
-	return h.Sum64()
+func (a key) compare(b key) int {
+	return cmp.Or(a.from.Compare(b.from), cmp.Compare(a.id, b.id), strings.Compare(a.name, b.name))
 }
 
 // answer says what an enquiry came to. A SIP URI names pool and trunk group (RFC 6116 3.4, RFC 3764, RFC 4904).
@@ -275,7 +281,7 @@
 	out := new(dns.Msg)
 	out.SetReply(r.msg)
 	if r.msg.IsEdns0() != nil {
-		out.SetEdns0(1232, false)
+		out.SetEdns0(mostSize, false)
 	}
 	return out
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -86,7 +86,7 @@
 func TestAnswers(t *testing.T) {
 	r := newRig(t, nil)
 	r.ask(kiosk, query(strings.ToUpper(name), dns.TypeNAPTR, 7, 1232), false)
-	if len(r.got) != 0 || len(r.d.asked) != 1 || r.d.asked[0] != "14185551234 shift-lookup" {
+	if len(r.got) != 0 || len(r.d.asked) != 1 || r.d.asked[0] != "+14185551234 shift-lookup" {
 		t.Fatalf("%v, asked %v", r.got, r.d.asked)
 	}
 	r.d.done[0](1100, r.d.named())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,7 +107,7 @@
 	if log.GetLevel() <= zerolog.DebugLevel {
 		g.edge.OnFate = func(f edge.Fate) {
 			log.Debug().Str("contact", f.Session).Str("skill", f.Skill).Int("answer", f.Answer).Int("rings", f.Rings).
-				Float64("took_ms", f.Took).Msg("contact")
+				Float64("took_ms", f.Took).Uint64("table", f.Table).Str("route", f.Route).Msg("contact")
 		}
 	}
 	done := make(chan struct{})
--- a/gateway/numbers_test.go
+++ b/gateway/numbers_test.go
@@ -27,6 +27,7 @@
 const numberTable = `
 name    = "t"
 version = %d
+country = "1"
 route "r" {
   group %q {
   }
@@ -192,6 +193,9 @@
 			t.Errorf("a look-up by %s: %v", net, m)
 		}
 	}
+	if m := look("udp", 418555); m.Rcode != dns.RcodeNameError { // with the country's digit in front it would have a rule
+		t.Errorf("a number of another country: %v", m)
+	}
 	if m := look("udp", 33123); m.Rcode != dns.RcodeNameError {
 		t.Errorf("a number without a rule: %v", m)
 	}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"cobaltpier/brain"
 	"cobaltpier/check"
 	"cobaltpier/contact"
+	"cobaltpier/edge"
 	"cobaltpier/host"
 	"cobaltpier/lab/baseline"
 	"cobaltpier/lab/script"
@@ -107,6 +108,9 @@
 	if tables != nil {
 		tables.Parse = st.Parse
 	}
+	if tables != nil {
+		st.Fate = func(gateway int, f edge.Fate) { tables.Record(st.Gateways[gateway].Name, f.Session, f.Table) }
+	}
 	v := stage.NewVirtual(st, mk)
 	st.World.Run(s.Length + After)
 	k.Finish()
--- a/lab/script/script.go
+++ b/lab/script/script.go
@@ -113,8 +113,7 @@
 	Loss    float64 // of datagrams between them and the gateways
 	Wait    float64 // then a question is repeated
 	Repeats int
-	Asks    int     // questions anew after a failure
-	Flood   float64 // questions a second with forged addresses at the first gateway
+	Asks    int // questions anew after a failure
 }
 
 // Analyses tells whether the gateways analyse numbers. Calls of a trace name their trunk groups themselves.
@@ -230,7 +229,7 @@
 	}
 	for _, n := range b.Blocks("kiosks", 0) {
 		s.Kiosks = Kiosks{Rate: n.Num("rate", 100, 0, 1e6), Hold: n.Ms("hold", 5000, 1, day), Loss: n.Num("loss", 0, 0, 1), Wait: n.Ms("wait", 1000, 1, day),
-			Repeats: n.Int("repeats", 1, 0, 10), Asks: n.Int("asks", 2, 0, 10), Flood: n.Num("flood", 0, 0, 1e6)}
+			Repeats: n.Int("repeats", 1, 0, 10), Asks: n.Int("asks", 2, 0, 10)}
 	}
 	for _, t := range b.Blocks("trouble", 1) {
 		x := Trouble{Kind: t.Labels[0], At: t.Ms("at", conf.Required, 0, day), For: t.Ms("for", 10000, 0, day),
--- a/lab/stage/numbers_test.go
+++ b/lab/stage/numbers_test.go
@@ -5,6 +5,7 @@
 
 	"cobaltpier/api"
 	"cobaltpier/check"
+	"cobaltpier/edge"
 	"cobaltpier/lab/script"
 )
 
@@ -21,6 +22,7 @@
 	k, tables := check.New(), check.NewTables(Mark4)
 	st := New(s, 5060, func(r *api.Record) { k.Add(r); tables.Add(r) })
 	k.Parse, tables.Parse = st.Parse, st.Parse
+	st.Fate = func(gateway int, f edge.Fate) { tables.Record(st.Gateways[gateway].Name, f.Session, f.Table) }
 	v := NewVirtual(st, mind)
 	st.World.Run(s.Length + 12000)
 	k.Finish()
@@ -44,7 +46,7 @@
 			t.Error(f)
 		}
 	}
-	if tables.Contacts < 2000 || tables.Versions < 13 {
+	if tables.Contacts < 2000 || tables.Records < 2000 || tables.Versions < 13 {
 		t.Errorf("%d contacts, %d tables", tables.Contacts, tables.Versions)
 	}
 	for _, b := range v.Edges {
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -81,6 +81,7 @@
 	Record   func(*api.Record)                 // what the capture gets; may be nil
 	Say      func(at float64, what string)     // troubles as they begin and end; may be nil
 	Parse    func([]byte) (sip.Message, error) // what all machines of the stage read with
+	Fate     func(gateway int, f edge.Fate)    // gets the record of each contact, in virtual time; may be nil
 	Names    *Names                            // nil: callers name their trunk groups
 	Off      int                               // a guard of the edges that is switched off, to show that the checker sees it
 	names    signal.Names
--- a/lab/stage/virtual.go
+++ b/lab/stage/virtual.go
@@ -59,6 +59,11 @@
 		st.TableIn(b.g.Number, st.Names.Version)
 	}
 	b.Edge = edge.New(cfg, b.v.Make, b)
+	b.Edge.OnFate = func(f edge.Fate) {
+		if st := b.v.Stage; st.Fate != nil {
+			st.Fate(b.g.Number, f)
+		}
+	}
 	b.front = nil
 	if b.g.FrontAt != nil {
 		b.front = front.New(b.v.Stage.FrontConfig(), b.Edge)
--- a/labcmd/labcmd.go
+++ b/labcmd/labcmd.go
@@ -287,6 +287,9 @@
 			verdict = fmt.Sprintf("NOT %d of them", n)
 		}
 		fmt.Fprintf(out, "\nNumbers: %d contacts were set up by %d tables, %s wholly by one that was in force when they came\n", t.Contacts, t.Versions, verdict)
+		if t.Records > 0 {
+			fmt.Fprintf(out, "  the records of %d of them were held against the wire\n", t.Records)
+		}
 		for i, f := range t.Findings {
 			if i < 10 {
 				fmt.Fprintln(out, "    ", f)
--- a/resolve/resolve.go
+++ b/resolve/resolve.go
@@ -107,7 +107,6 @@
 	name   string // as it was sent: letters by chance large and small
 	timer  *clock.Timer
 	token  uint64
-	over   bool
 }
 
 // flight is a name that is asked for.
@@ -157,9 +156,6 @@
 // Open is how many names are asked for, and how many are kept.
 func (c *Client) Open() (flights, kept int) { return len(c.flights), len(c.cache.of) }
 
-// Up is how many servers are asked at present.
-func (c *Client) Up(now float64) int { return c.health.Up(now) }
-
 func (c *Client) draw() uint64 {
 	c.drawn++
 	return chance.Hash(c.cfg.Seed, c.drawn)
@@ -347,6 +343,7 @@
 		c.timers.Set(c.now+lastWait, func() { c.again(f) })
 		return
 	}
+	c.cache.fail(c.now, f.name)
 	c.settle(f, func(a *asker) Answer {
 		if k := c.cache.stale(c.now, f.name); k != nil {
 			c.Counts.Stale++
@@ -355,7 +352,6 @@
 		c.Counts.Failed++
 		return Answer{Status: Failed}
 	})
-	c.cache.fail(c.now, f.name)
 }
 
 // settle ends a flight and tells all who asked.
@@ -363,7 +359,6 @@
 	f.settled = true
 	delete(c.flights, f.key)
 	for _, s := range f.out {
-		s.over = true
 		c.timers.Stop(s.timer)
 		delete(c.tries, s.key)
 		delete(c.streams, s.token)
@@ -394,7 +389,6 @@
 	}
 	c.strays[s.server] = 0
 	c.timers.Stop(s.timer)
-	s.over = true
 	delete(c.tries, s.key)
 	c.health.Answered(s.server, now, now-s.at)
 	if m.Truncated { // RFC 2181 9: what came is not used
@@ -426,7 +420,6 @@
 	}
 	delete(c.streams, token)
 	c.timers.Stop(s.timer)
-	s.over = true
 	m := new(dns.Msg)
 	if data == nil || m.Unpack(data) != nil || m.Id != s.key.id || !matches(m, s.name) {
 		c.health.Missed(s.server, now, s.at)
