Number tables' files leave the decision packages

Need: ring 1 knows no file, but tables held the store and number read files. tablefile has both now. What is on the shelf, what of it stays and what runs after a start are decided once, in tables.Shelf, where keeper and store each kept a history of their own: after a start that passed over a damaged table they differed, and going back twice could run one that had been gone back from.

--- a/gateway/numbers.go
+++ b/gateway/numbers.go
@@ -22,6 +22,7 @@
 	"cobaltpier/reactor"
 	"cobaltpier/resolve"
 	"cobaltpier/settings"
+	"cobaltpier/tablefile"
 	"cobaltpier/tables"
 )
 
@@ -31,7 +32,7 @@
 	g       *Gateway
 	set     *settings.Numbers
 	has     number.Names
-	store   *tables.Store
+	store   *tablefile.Store
 	keeper  *tables.Keeper
 	first   *number.Table
 	client  *resolve.Client
@@ -57,29 +58,34 @@
 	for _, x := range g.set.Groups {
 		n.has.Groups = append(n.has.Groups, x.Name)
 	}
-	var serial uint64
-	var before []uint64
+	var shelf tables.Shelf
 	if set.Store != "" {
-		s, err := tables.Open(set.Store)
+		s, err := tablefile.Open(set.Store)
 		if err != nil {
 			return nil, err
 		}
 		n.store = s
+		if shelf, err = s.Shelf(); err != nil {
+			n.close()
+			return nil, err
+		}
 		var problems []error
-		n.first, serial, before, problems = s.Recover(n.has)
+		n.first, shelf, problems = shelf.Recover(s.Form, n.has)
 		for _, p := range problems {
 			g.log.Error().Err(p).Msg("a kept number table is passed over")
 		}
 	}
 	if n.first == nil && set.Table != "" {
-		t, form, err := number.Load(set.Table)
+		t, form, err := tablefile.Load(set.Table)
 		if err == nil {
 			err = t.Fits(n.has)
 		}
 		if err == nil && n.store != nil {
 			var b []byte
 			if b, err = number.Pack(form); err == nil {
-				serial, err = n.store.Keep(tables.Checked{Table: t, Form: b}, "from "+set.Table, 0, time.Now())
+				var serial uint64
+				serial, err = n.store.Keep(tables.Checked{Table: t, Form: b}, "from "+set.Table, 0, shelf, time.Now())
+				shelf = shelf.Take(serial)
 			}
 		}
 		if err != nil {
@@ -92,7 +98,7 @@
 		n.close()
 		return nil, errors.New("numbers: no table: the store has none that can be used, and settings name none")
 	}
-	n.keeper = tables.New(n, n.first, serial, before)
+	n.keeper = tables.New(n, n.first, shelf)
 	g.log.Info().Str("table", n.first.Name).Uint64("version", n.first.Version).Str("sum", n.first.Sum[:16]).Int("rules", n.first.Size()).Msg("number table")
 	if set.Apex == "" {
 		return n, nil
@@ -221,13 +227,13 @@
 }
 
 // Keep implements tables.Work.
-func (n *numbers) Keep(c tables.Checked, note string, serial uint64) {
+func (n *numbers) Keep(c tables.Checked, note string, serial uint64, shelf tables.Shelf) {
 	if n.store == nil {
-		n.keeper.Kept(n.keeper.Serial+1, nil)
+		n.keeper.Kept(n.keeper.Shelf.Running+1, nil)
 		return
 	}
 	go func() {
-		got, err := n.store.Keep(c, note, serial, time.Now())
+		got, err := n.store.Keep(c, note, serial, shelf, time.Now())
 		n.g.post(event{kind: call, do: func(float64) { n.keeper.Kept(got, err) }})
 	}()
 }
@@ -301,7 +307,7 @@
 	err := a.in(ctx, func(done func(error)) {
 		k := a.n.keeper
 		t := k.Running
-		s.Running = &api.KeptTable{Serial: k.Serial, Name: t.Name, Version: t.Version, Sum: t.Sum, Rules: int64(t.Size())}
+		s.Running = &api.KeptTable{Serial: k.Shelf.Running, Name: t.Name, Version: t.Version, Sum: t.Sum, Rules: int64(t.Size())}
 		old, n := a.n.g.edge.Tables()
 		s.OldTables, s.OldContacts = int32(old), int32(n)
 		done(nil)
--- a/gateway/numbers_test.go
+++ b/gateway/numbers_test.go
@@ -22,6 +22,7 @@
 	"cobaltpier/lab/names"
 	"cobaltpier/number"
 	"cobaltpier/settings"
+	"cobaltpier/tablefile"
 )
 
 const numberTable = `
@@ -83,7 +84,7 @@
 		return f
 	}
 	form := func(file string) []byte {
-		_, x, err := number.Load(file)
+		_, x, err := tablefile.Load(file)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/number/read.go
+++ b/number/read.go
@@ -1,8 +1,6 @@
 package number
 
 import (
-	"fmt"
-	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -14,27 +12,6 @@
 	"cobaltpier/conf"
 )
 
-// Load reads and compiles a table, of HCL or of the compact form; every fault is told, with file and line where there
-// are lines.
-func Load(file string) (*Table, *api.NumberTable, error) {
-	src, err := os.ReadFile(file)
-	if err != nil {
-		return nil, nil, fmt.Errorf("number table: %w", err)
-	}
-	if !strings.HasSuffix(file, ".hcl") {
-		form, err := Unpack(src)
-		if err != nil {
-			return nil, nil, fmt.Errorf("%s: %w", file, err)
-		}
-		t, err := Compile(form)
-		if err != nil {
-			return nil, nil, fmt.Errorf("%s: %w", file, err)
-		}
-		return t, form, nil
-	}
-	return Parse(file, src)
-}
-
 // reader makes the compact form of HCL.
 type reader struct {
 	at map[proto.Message]*conf.Block // where each part of it was written
--- a/numbercmd/numbercmd.go
+++ b/numbercmd/numbercmd.go
@@ -18,6 +18,7 @@
 
 	"cobaltpier/api"
 	"cobaltpier/number"
+	"cobaltpier/tablefile"
 )
 
 // ErrDiffer says that two tables do different things.
@@ -38,7 +39,7 @@
 func check() *cobra.Command {
 	return &cobra.Command{Use: "check TABLE", Short: "Compile a table and say what is wrong with it, with file and line", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			t, _, err := number.Load(args[0])
+			t, _, err := tablefile.Load(args[0])
 			if err != nil {
 				return err
 			}
@@ -77,7 +78,7 @@
 				})
 			case to == "" && len(args) == 2:
 				var t *number.Table
-				if t, _, err = number.Load(args[0]); err == nil {
+				if t, _, err = tablefile.Load(args[0]); err == nil {
 					steps = t.Explain(number.Call{Dialled: args[1], At: now, Draw: draw}, ported, silent)
 				}
 			default:
@@ -100,7 +101,7 @@
 	var out string
 	c := &cobra.Command{Use: "compile TABLE.hcl --out FILE", Short: "Check a table and write its compact form", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			_, form, err := number.Load(args[0])
+			_, form, err := tablefile.Load(args[0])
 			if err != nil {
 				return err
 			}
@@ -137,7 +138,7 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var of [2]*api.NumberTable
 			for i, a := range args {
-				_, form, err := number.Load(a)
+				_, form, err := tablefile.Load(a)
 				if err != nil {
 					return err
 				}
@@ -265,7 +266,7 @@
 		Long: `Sends a table to a gateway that runs. The gateway compiles and checks it beside the running one, keeps it in its store and
 swaps: new contacts get it, those held keep theirs to their end. A bad table changes nothing, and the answer says why.`,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			_, form, err := number.Load(args[0])
+			_, form, err := tablefile.Load(args[0])
 			if err != nil {
 				return err
 			}
--- a/tables/store.go
+++ b/tablefile/store.go
@@ -1,4 +1,5 @@
-package tables
+// Package tablefile has number tables in files: as people write them, and in the store of a gateway.
+package tablefile
 
 import (
 	"crypto/sha256"
@@ -6,6 +7,8 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"os"
+	"strings"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -13,6 +16,7 @@
 
 	"cobaltpier/api"
 	"cobaltpier/number"
+	"cobaltpier/tables"
 )
 
 // Store keeps the tables that a gateway ran, in one file. A table is in it with its checksum before it runs, and what
@@ -67,11 +71,9 @@
 }
 
 // Keep writes a table as the running one. Serial 0: a new one, which gets the next number; another: one that is kept
-// already and runs again.
-func (s *Store) Keep(c Checked, note string, serial uint64, at time.Time) (uint64, error) {
+// already and runs again. shelf is what was on it before, which a start may have found less of than the file says.
+func (s *Store) Keep(c tables.Checked, note string, serial uint64, shelf tables.Shelf, at time.Time) (uint64, error) {
 	err := s.db.Update(func(tx *bbolt.Tx) error {
-		st := tx.Bucket(state)
-		was, past := serials(st.Get(running)), serials(st.Get(history))
 		if serial == 0 {
 			n, err := tx.Bucket(forms).NextSequence()
 			if err != nil {
@@ -87,27 +89,21 @@
 			if err := errors.Join(tx.Bucket(forms).Put(key(n), c.Form), tx.Bucket(notes).Put(key(n), kept)); err != nil {
 				return err
 			}
-			past = append(past, was...)
-		} else if len(past) > 0 && past[len(past)-1] == serial {
-			past = past[:len(past)-1]
 		}
-		past = past[max(0, len(past)-MostKept):]
-		var b []byte
-		used := map[uint64]bool{serial: true}
-		for _, p := range past {
-			b = append(b, key(p)...)
-			used[p] = true
+		shelf = shelf.Take(serial)
+		var before []byte
+		for _, p := range shelf.Before {
+			before = append(before, key(p)...)
 		}
-		last := tx.Bucket(forms).Sequence()
 		c := tx.Bucket(forms).Cursor()
-		for k, _ := c.First(); k != nil; k, _ = c.Next() { // those that were gone back from stay for a while
-			if n := binary.BigEndian.Uint64(k); !used[n] && n+MostKept <= last {
-				if err := errors.Join(c.Delete(), tx.Bucket(notes).Delete(k)); err != nil {
+		for k, _ := c.First(); k != nil; k, _ = c.Next() {
+			if !shelf.Keeps(binary.BigEndian.Uint64(k), tx.Bucket(forms).Sequence()) {
+				if err := errors.Join(tx.Bucket(notes).Delete(k), c.Delete()); err != nil {
 					return err
 				}
 			}
 		}
-		return errors.Join(st.Put(history, b), st.Put(running, key(serial)))
+		return errors.Join(tx.Bucket(state).Put(history, before), tx.Bucket(state).Put(running, key(shelf.Running)))
 	})
 	if err != nil {
 		return 0, fmt.Errorf("tables: store: %w", err)
@@ -115,6 +111,14 @@
 	return serial, nil
 }
 
+func shelfOf(tx *bbolt.Tx) tables.Shelf {
+	shelf := tables.Shelf{Before: serials(tx.Bucket(state).Get(history))}
+	if r := serials(tx.Bucket(state).Get(running)); len(r) == 1 {
+		shelf.Running = r[0]
+	}
+	return shelf
+}
+
 // Form is a kept table's compact form; its checksum is looked at.
 func (s *Store) Form(serial uint64) ([]byte, error) {
 	var form []byte
@@ -136,14 +140,10 @@
 	return form, err
 }
 
-// State is the serial that the store says to run, 0: none, and those that ran before it, the latest last.
-func (s *Store) State() (now uint64, before []uint64, err error) {
+// Shelf is what the store says to run, and what ran before it.
+func (s *Store) Shelf() (shelf tables.Shelf, err error) {
 	err = s.db.View(func(tx *bbolt.Tx) error {
-		st := tx.Bucket(state)
-		if r := serials(st.Get(running)); len(r) == 1 {
-			now = r[0]
-		}
-		before = serials(st.Get(history))
+		shelf = shelfOf(tx)
 		return nil
 	})
 	return
@@ -174,27 +174,23 @@
 	return of, nil
 }
 
-// Recover finds what runs after a start: the table that the store says to run, or, where that can't be read or does not
-// fit this gateway any more, the latest before it that can. problems say what was passed over; nil and no problems:
-// nothing is kept.
-func (s *Store) Recover(has number.Names) (run *number.Table, serial uint64, before []uint64, problems []error) {
-	now, past, err := s.State()
+// Load reads and compiles a table of a file, of HCL or of the compact form; every fault is told, with file and line where
+// there are lines.
+func Load(file string) (*number.Table, *api.NumberTable, error) {
+	src, err := os.ReadFile(file)
 	if err != nil {
-		return nil, 0, nil, []error{err}
+		return nil, nil, fmt.Errorf("number table: %w", err)
 	}
-	if now == 0 {
-		return nil, 0, nil, nil
+	if strings.HasSuffix(file, ".hcl") {
+		return number.Parse(file, src)
 	}
-	for of := append(past, now); len(of) > 0; of = of[:len(of)-1] {
-		n := of[len(of)-1]
-		form, err := s.Form(n)
-		if err == nil {
-			c := Check(form, has)
-			if err = c.Err; err == nil {
-				return c.Table, n, of[:len(of)-1], problems
-			}
-		}
-		problems = append(problems, err)
+	form, err := number.Unpack(src)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", file, err)
+	}
+	t, err := number.Compile(form)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", file, err)
 	}
-	return nil, 0, nil, problems
+	return t, form, nil
 }
--- a/tables/tables.go
+++ b/tables/tables.go
@@ -1,13 +1,13 @@
 // Package tables decides how the number table of a running gateway changes: one change at a time, checked and kept before
 // it counts, a bad one changing nothing. It does no work itself: it asks for work, and is told how that went; so it
-// knows no file, no clock and no goroutine.
+// knows no file, no clock and no goroutine. Package tablefile has the files.
 package tables
 
 import (
 	"errors"
 	"fmt"
+	"slices"
 
-	"cobaltpier/api"
 	"cobaltpier/number"
 )
 
@@ -39,8 +39,9 @@
 type Work interface {
 	// Check reads, compiles and checks a source beside the running table: answered by Checked.
 	Check(Source)
-	// Keep writes a table into the store as the one that runs from now on: answered by Kept. Serial is 0 for a new one.
-	Keep(c Checked, note string, serial uint64)
+	// Keep writes a table into the store as the one that runs from now on, on a shelf as it is before: answered by Kept.
+	// Serial is 0 for a new one.
+	Keep(c Checked, note string, serial uint64, shelf Shelf)
 	// Swap gives new contacts a table, at once.
 	Swap(*number.Table)
 }
@@ -48,13 +49,54 @@
 // Keeper holds what runs and what is on its way.
 type Keeper struct {
 	Running *number.Table // nil: none yet
-	Serial  uint64        // its number in the store
+	Shelf   Shelf
 	work    Work
-	history []uint64 // serials that ran before, the latest last
-	now     *change  // checked or kept at present
-	next    *change  // the one that waits: the latest wins
-	Swaps   uint64
-	Refused uint64
+	now     *change // checked or kept at present
+	next    *change // the one that waits: the latest wins
+}
+
+// Shelf is what the store says to run, by serials.
+type Shelf struct {
+	Running uint64   // 0: none
+	Before  []uint64 // those that ran before, the latest last
+}
+
+// Take is the shelf once a serial runs: back, where it is the one before.
+func (s Shelf) Take(serial uint64) Shelf {
+	n := len(s.Before)
+	if n > 0 && s.Before[n-1] == serial {
+		return Shelf{serial, slices.Clone(s.Before[:n-1])}
+	}
+	before := slices.Clone(s.Before)
+	if s.Running != 0 {
+		before = append(before, s.Running)
+	}
+	return Shelf{serial, before[max(0, len(before)-MostKept):]}
+}
+
+// Keeps tells whether a serial stays in the store: what the shelf has, and of those that were gone back from the latest.
+func (s Shelf) Keeps(serial, latest uint64) bool {
+	return serial == s.Running || slices.Contains(s.Before, serial) || serial+MostKept > latest
+}
+
+// Recover finds what runs after a start: what the shelf says, or, where that can't be read or does not fit the gateway any
+// more, the latest before it that can. problems say what was passed over; nil and no problems: nothing is kept.
+func (s Shelf) Recover(form func(serial uint64) ([]byte, error), has number.Names) (run *number.Table, then Shelf, problems []error) {
+	if s.Running == 0 {
+		return nil, Shelf{}, nil
+	}
+	for of := append(slices.Clone(s.Before), s.Running); len(of) > 0; of = of[:len(of)-1] {
+		n := of[len(of)-1]
+		b, err := form(n)
+		if err == nil {
+			c := Check(b, has)
+			if err = c.Err; err == nil {
+				return c.Table, Shelf{n, of[:len(of)-1]}, problems
+			}
+		}
+		problems = append(problems, err)
+	}
+	return nil, Shelf{}, problems
 }
 
 type change struct {
@@ -64,10 +106,9 @@
 	done    func(error)
 }
 
-// New makes a keeper for a gateway that runs a table, maybe none, which the store has under a serial; history are the
-// serials that ran before it, the latest last.
-func New(work Work, running *number.Table, serial uint64, history []uint64) *Keeper {
-	return &Keeper{work: work, Running: running, Serial: serial, history: append([]uint64(nil), history...)}
+// New makes a keeper for a gateway that runs a table, maybe none, as the shelf says.
+func New(work Work, running *number.Table, shelf Shelf) *Keeper {
+	return &Keeper{work: work, Running: running, Shelf: shelf}
 }
 
 // Put asks for a change to a new table. done hears how it went, once. While another change is on its way this one
@@ -84,7 +125,6 @@
 func (k *Keeper) ask(c *change) {
 	if k.now != nil {
 		if k.next != nil {
-			k.Refused++
 			k.next.done(ErrOvertaken)
 		}
 		k.next = c
@@ -95,13 +135,12 @@
 
 func (k *Keeper) begin(c *change) {
 	if c.Form == nil { // back: which one that is is known only now
-		if len(k.history) == 0 {
-			k.Refused++
+		if len(k.Shelf.Before) == 0 {
 			c.done(ErrNoBefore)
 			k.end()
 			return
 		}
-		c.Serial = k.history[len(k.history)-1]
+		c.Serial = k.Shelf.Before[len(k.Shelf.Before)-1]
 	}
 	k.now = c
 	k.work.Check(c.Source)
@@ -116,9 +155,7 @@
 }
 
 func (k *Keeper) refuse(err error) {
-	c := k.now
-	k.Refused++
-	c.done(err)
+	k.now.done(err)
 	k.end()
 }
 
@@ -137,7 +174,7 @@
 		k.refuse(fmt.Errorf("%w: %d, %d runs", ErrOlder, x.Table.Version, k.Running.Version))
 	default:
 		c.checked, c.keeping = x, true
-		k.work.Keep(x, c.Note, c.Serial)
+		k.work.Keep(x, c.Note, c.Serial, k.Shelf)
 	}
 }
 
@@ -152,16 +189,7 @@
 		k.refuse(fmt.Errorf("tables: not kept, so not used: %w", err))
 		return
 	}
-	if c.Serial != 0 {
-		k.history = k.history[:len(k.history)-1]
-	} else if k.Running != nil {
-		k.history = append(k.history, k.Serial)
-		if len(k.history) > MostKept {
-			k.history = k.history[1:]
-		}
-	}
-	k.Running, k.Serial = c.checked.Table, serial
-	k.Swaps++
+	k.Running, k.Shelf = c.checked.Table, k.Shelf.Take(serial)
 	k.work.Swap(k.Running)
 	c.done(nil)
 	k.end()
@@ -179,10 +207,6 @@
 	if err != nil {
 		return Checked{Err: err}
 	}
-	return check(x, form, has)
-}
-
-func check(x *api.NumberTable, form []byte, has number.Names) Checked {
 	t, err := number.Compile(x)
 	if err == nil {
 		err = t.Fits(has)
