--- a/tables/tables_test.go
+++ b/tables/tables_test.go
@@ -17,8 +17,8 @@
 		var s Shelf
 		var model []uint64
 		latest := uint64(0)
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			if len(model) > 1 && rapid.Bool().Draw(t, "back") {
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			if len(model) > 1 && rapid.IntRange(0, 3).Draw(t, "back") == 0 {
 				model = model[:len(model)-1]
 				s = s.Take(s.Before[len(s.Before)-1])
 			} else {
