Cache, rates and DNS streams by libraries; streams are bounded where it is decided

Cause: the LRU, the token buckets and the framing of DNS over TCP were hand-made, and bounds on streams were tuned values in drivers. Now golang-lru, x/time/rate and the DNS library's connections; resolve bounds its streams (64), the front's are settings. One bound on a table's octets in place of two. Seen to fail: no bound on streams (TestStreamsBounded).

--- a/front/limit.go
+++ b/front/limit.go
@@ -3,8 +3,10 @@
 import (
 	"math"
 	"net/netip"
+	"time"
 
 	"github.com/gaissmai/bart"
+	"golang.org/x/time/rate"
 )
 
 //tally:decisions
@@ -40,50 +42,37 @@
 type limiter struct {
 	set   Limits
 	nets  *bart.Table[float64]
-	new   map[netip.Prefix]*bucket
-	old   map[netip.Prefix]*bucket
-	total bucket
+	new   map[netip.Prefix]*rate.Limiter
+	old   map[netip.Prefix]*rate.Limiter
+	total *rate.Limiter
 	slips uint64
 }
 
-type bucket struct {
-	tokens float64
-	at     float64
-}
-
 func newLimiter(set Limits) *limiter {
-	l := &limiter{set: set, nets: &bart.Table[float64]{}, new: map[netip.Prefix]*bucket{}}
+	l := &limiter{set: set, nets: &bart.Table[float64]{}, new: map[netip.Prefix]*rate.Limiter{}, total: bucket(set.Total, set.Total/10)}
 	for _, n := range set.Nets {
 		l.nets.Insert(n.Prefix.Masked(), n.Rate)
 	}
 	return l
 }
 
-// take fills a bucket up for the time that has passed and takes a token out.
-func (b *bucket) take(now, rate, burst float64) bool {
-	b.tokens = math.Min(burst, b.tokens+rate/1000*math.Max(0, now-b.at))
-	b.at = now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+// bucket allows so many a second, and so many at once.
+func bucket(each, burst float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(each), int(math.Max(1, burst)))
 }
 
 // ask judges a question from an address.
 func (l *limiter) ask(now float64, from netip.Addr) Verdict {
 	from = from.Unmap()
-	rate, burst := l.set.Rate, math.Max(1, l.set.Burst)
+	each, burst := l.set.Rate, l.set.Burst
 	if r, ok := l.nets.Lookup(from); ok {
 		if r <= 0 {
 			return Refuse
 		}
-		rate, burst = r, math.Max(burst, r) // after a standstill of ours a second's questions come at once
-	}
-	if rate > 0 && !l.client(from, burst).take(now, rate, burst) {
-		return l.over()
+		each, burst = r, math.Max(burst, r) // after a standstill of ours a second's questions come at once
 	}
-	if t := l.set.Total; t > 0 && !l.total.take(now, t, math.Max(1, t/10)) {
+	at := time.Unix(0, int64(now*1e6))
+	if each > 0 && !l.client(from, each, burst).AllowN(at, 1) || l.set.Total > 0 && !l.total.AllowN(at, 1) {
 		return l.over()
 	}
 	return Answer
@@ -100,7 +89,7 @@
 
 // client is the bucket of an address's network. Two generations are kept, so that a flood of forged addresses takes no
 // more memory than that; what it makes us forget is only how much a network has left.
-func (l *limiter) client(from netip.Addr, burst float64) *bucket {
+func (l *limiter) client(from netip.Addr, each, burst float64) *rate.Limiter {
 	bits := 24
 	if from.Is6() {
 		bits = 56
@@ -114,10 +103,10 @@
 	}
 	b := l.old[p]
 	if b == nil {
-		b = &bucket{tokens: burst}
+		b = bucket(each, burst)
 	}
 	if len(l.new) >= max(1, l.set.Clients/2) {
-		l.old, l.new = l.new, map[netip.Prefix]*bucket{}
+		l.old, l.new = l.new, map[netip.Prefix]*rate.Limiter{}
 	}
 	l.new[p] = b
 	return b
--- a/gateway/front.go
+++ b/gateway/front.go
@@ -1,14 +1,15 @@
 package gateway
 
 import (
-	"encoding/binary"
+	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/miekg/dns"
+
 	"cobaltpier/front"
 	"cobaltpier/reactor"
 )
@@ -25,11 +26,8 @@
 	wait    sync.WaitGroup
 }
 
-const (
-	mostConns = 256              // streams open at once; what comes beyond is closed
-	idle      = 10 * time.Second // a stream on which nothing is asked is closed (RFC 7766 6.2.3)
-	mostWrite = 64               // answers that wait for a slow reader; beyond it is cut off
-)
+// mostWrite is how many answers may wait for a slow reader of a stream; beyond it is cut off.
+const mostWrite = 64
 
 // openDoor listens for look-ups.
 func (g *Gateway) openDoor() (*door, error) {
@@ -76,7 +74,7 @@
 			return
 		}
 		d.mu.Lock()
-		full := len(d.open) >= mostConns
+		full := len(d.open) >= d.g.set.Front.Conns
 		if !full {
 			d.open[c] = struct{}{}
 			d.wait.Add(1)
@@ -101,6 +99,7 @@
 		delete(d.open, c)
 		d.mu.Unlock()
 	}()
+	idle, conn := time.Duration(d.g.set.Front.Idle*1e6), &dns.Conn{Conn: c}
 	d.wait.Add(1)
 	go func() {
 		defer d.wait.Done()
@@ -108,7 +107,7 @@
 			select {
 			case b := <-out:
 				c.SetWriteDeadline(time.Now().Add(idle))
-				if _, err := c.Write(b); err != nil {
+				if _, err := conn.Write(b); err != nil {
 					c.Close()
 					return
 				}
@@ -117,21 +116,19 @@
 			}
 		}
 	}()
-	from := c.RemoteAddr().(*net.TCPAddr).AddrPort()
+	from := plain(c.RemoteAddr().(*net.TCPAddr).AddrPort())
+	b := make([]byte, dns.MaxMsgSize)
 	for {
 		c.SetReadDeadline(time.Now().Add(idle))
-		var size [2]byte
-		if _, err := io.ReadFull(c, size[:]); err != nil {
-			return
-		}
-		b := make([]byte, binary.BigEndian.Uint16(size[:]))
-		if _, err := io.ReadFull(c, b); err != nil {
+		n, err := conn.Read(b)
+		if err != nil {
 			return
 		}
+		data := bytes.Clone(b[:n])
 		d.g.post(event{kind: call, do: func(now float64) {
-			d.front.Receive(now, plainAddr(from), b, true, func(b []byte) {
+			d.front.Receive(now, from, data, true, func(b []byte) {
 				select {
-				case out <- append(binary.BigEndian.AppendUint16(nil, uint16(len(b))), b...):
+				case out <- b:
 				default:
 					c.Close()
 				}
@@ -140,6 +137,4 @@
 	}
 }
 
-func plainAddr(a netip.AddrPort) netip.AddrPort {
-	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
-}
+func plain(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr().Unmap(), a.Port()) }
--- a/gateway/numbers.go
+++ b/gateway/numbers.go
@@ -6,11 +6,11 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"time"
 
+	"github.com/miekg/dns"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -39,16 +39,12 @@
 	finder  *ported.Finder
 	sockets *reactor.Sockets
 	ports   []netip.AddrPort
-	streams chan struct{} // bounds those open at once
 }
 
-// mostStreams are open at once: a truncated answer for each name would else open as many as there are names.
-const mostStreams = 64
-
 // openNumbers finds the table that runs and opens the resolver's sockets.
 func (g *Gateway) openNumbers() (*numbers, error) {
 	set := &g.set.Numbers
-	n := &numbers{g: g, set: set, streams: make(chan struct{}, mostStreams)}
+	n := &numbers{g: g, set: set}
 	for _, k := range g.set.Set.Skills {
 		n.has.Skills = append(n.has.Skills, k.Name)
 	}
@@ -173,14 +169,7 @@
 
 // Stream implements resolve.Out (RFC 1035 4.2.2): truncated answers are rare, so a goroutine for each will do.
 func (n *numbers) Stream(token uint64, to netip.AddrPort, data []byte, within float64) {
-	select {
-	case n.streams <- struct{}{}:
-	default:
-		go n.g.post(event{kind: call, do: func(now float64) { n.client.Streamed(now, token, nil) }}) // this is the loop itself
-		return
-	}
 	go func() {
-		defer func() { <-n.streams }()
 		b, err := overTCP(to, data, time.Duration(within*1e6))
 		if err != nil {
 			n.g.log.Debug().Err(err).Stringer("server", to).Msg("look-up by stream")
@@ -191,7 +180,7 @@
 }
 
 func overTCP(to netip.AddrPort, data []byte, within time.Duration) ([]byte, error) {
-	c, err := net.DialTimeout("tcp", to.String(), within)
+	c, err := dns.DialTimeout("tcp", to.String(), within)
 	if err != nil {
 		return nil, err
 	}
@@ -199,16 +188,12 @@
 	if err := c.SetDeadline(time.Now().Add(within)); err != nil {
 		return nil, err
 	}
-	if _, err := c.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(data))), data...)); err != nil {
+	if _, err := c.Write(data); err != nil {
 		return nil, err
 	}
-	var size [2]byte
-	if _, err := io.ReadFull(c, size[:]); err != nil {
-		return nil, err
-	}
-	b := make([]byte, binary.BigEndian.Uint16(size[:]))
-	_, err = io.ReadFull(c, b)
-	return b, err
+	b := make([]byte, dns.MaxMsgSize)
+	n, err := c.Read(b)
+	return b[:n], err
 }
 
 // Check implements tables.Work: beside the loop, for a large table takes longer than a tick.
@@ -345,7 +330,7 @@
 	if err != nil {
 		return fmt.Errorf("numbers: admin: %w", err)
 	}
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(mostTable))
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(number.MostOctets))
 	api.RegisterNumbersServer(s, &admin{n: n, ctx: ctx})
 	go func() {
 		<-ctx.Done()
@@ -359,6 +344,3 @@
 	log.Info().Str("addr", lis.Addr().String()).Msg("number tables are changed here")
 	return nil
 }
-
-// mostTable is the largest table taken over the wire, in octets.
-const mostTable = 256 << 20
--- a/lab/names/serve.go
+++ b/lab/names/serve.go
@@ -1,13 +1,13 @@
 package names
 
 import (
-	"encoding/binary"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
+
+	"github.com/miekg/dns"
 )
 
 // Served is a server behind real sockets, UDP and TCP of one address.
@@ -84,20 +84,17 @@
 			defer v.wg.Done()
 			defer c.Close()
 			c.SetDeadline(time.Now().Add(5 * time.Second))
-			var size [2]byte
-			if _, err := io.ReadFull(c, size[:]); err != nil {
-				return
-			}
-			b := make([]byte, binary.BigEndian.Uint16(size[:]))
-			if _, err := io.ReadFull(c, b); err != nil {
+			conn, b := &dns.Conn{Conn: c}, make([]byte, dns.MaxMsgSize)
+			n, err := conn.Read(b)
+			if err != nil {
 				return
 			}
 			v.mu.Lock()
-			out := v.s.Stream(b)
+			out := v.s.Stream(b[:n])
 			v.mu.Unlock()
 			for _, r := range out {
 				time.Sleep(time.Duration(r.After * 1e6))
-				c.Write(append(binary.BigEndian.AppendUint16(nil, uint16(len(r.Data))), r.Data...))
+				conn.Write(r.Data)
 			}
 		}()
 	}
--- a/number/compile.go
+++ b/number/compile.go
@@ -84,6 +84,9 @@
 	return append([]byte(magic), b...), nil
 }
 
+// MostOctets is the largest compact form that is taken over the wire.
+const MostOctets = 256 << 20
+
 // magic begins a table's compact form: what is none is refused before it is read.
 const magic = "cobalt-numbers 1\n"
 
--- a/numbercmd/numbercmd.go
+++ b/numbercmd/numbercmd.go
@@ -241,7 +241,7 @@
 }
 
 func dial(ctx context.Context, to string, do func(context.Context, api.NumbersClient) error) error {
-	conn, err := grpc.NewClient(to, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(256<<20)))
+	conn, err := grpc.NewClient(to, grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDefaultCallOptions(grpc.MaxCallSendMsgSize(number.MostOctets)))
 	if err != nil {
 		return fmt.Errorf("gateway at %s: %w", to, err)
 	}
--- a/resolve/cache.go
+++ b/resolve/cache.go
@@ -1,9 +1,10 @@
 package resolve
 
 import (
-	"container/list"
 	"math"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"cobaltpier/enum"
 )
 
@@ -17,43 +18,37 @@
 	Fail     float64 // a name that failed is not asked for again for so long (RFC 9520 3.2)
 }
 
-// cache keeps answers, the latest used of them. It never forgets one that is good before one that ran out.
+// cache keeps answers, those that were used last.
 type cache struct {
 	times CacheTimes
-	of    map[string]*list.Element
-	order *list.List // the latest used first
+	of    *simplelru.LRU[string, *kept]
 }
 
 type kept struct {
-	name   string
 	rules  []enum.Rule // none: there are none
 	until  float64
 	stale  float64 // it may be served till then
 	failed float64 // no question before this
 }
 
-func newCache(t CacheTimes) *cache { return &cache{t, map[string]*list.Element{}, list.New()} }
+func newCache(t CacheTimes) *cache {
+	of, err := simplelru.NewLRU[string, *kept](max(1, t.Most), nil)
+	if err != nil {
+		panic(err) // only for a size below 1
+	}
+	return &cache{t, of}
+}
 
-// fresh finds an answer whose time is not over.
+// fresh finds an answer whose time is not over; else what is left of it.
 func (c *cache) fresh(now float64, name string) (*kept, bool) {
-	e := c.of[name]
-	if e == nil {
-		return nil, false
-	}
-	k := e.Value.(*kept)
-	if now >= k.until {
-		return k, false
-	}
-	c.order.MoveToFront(e)
-	return k, true
+	k, ok := c.of.Get(name)
+	return k, ok && now < k.until
 }
 
 // stale finds an answer that ran out but may be served.
 func (c *cache) stale(now float64, name string) *kept {
-	if e := c.of[name]; e != nil {
-		if k := e.Value.(*kept); now < k.stale && k.until > 0 {
-			return k
-		}
+	if k, ok := c.of.Get(name); ok && now < k.stale && k.until > 0 {
+		return k
 	}
 	return nil
 }
@@ -63,34 +58,20 @@
 	ttl = math.Min(ttl, c.times.Longest)
 	if len(rules) == 0 {
 		if ttl = math.Min(ttl, c.times.Negative); ttl <= 0 {
-			c.drop(name)
+			c.of.Remove(name)
 			return
 		}
 	}
 	ttl = math.Max(ttl, c.times.Least)
-	c.set(&kept{name: name, rules: rules, until: now + ttl, stale: now + ttl + c.times.Stale})
+	c.of.Add(name, &kept{rules: rules, until: now + ttl, stale: now + ttl + c.times.Stale})
 }
 
 // fail notes that a question for a name came to nothing.
 func (c *cache) fail(now float64, name string) {
-	if e := c.of[name]; e != nil {
-		e.Value.(*kept).failed = now + c.times.Fail
-		return
-	}
-	c.set(&kept{name: name, failed: now + c.times.Fail})
-}
-
-func (c *cache) set(k *kept) {
-	c.drop(k.name)
-	for len(c.of) > 0 && len(c.of) >= c.times.Most {
-		c.drop(c.order.Back().Value.(*kept).name)
-	}
-	c.of[k.name] = c.order.PushFront(k)
-}
-
-func (c *cache) drop(name string) {
-	if e := c.of[name]; e != nil {
-		c.order.Remove(e)
-		delete(c.of, name)
+	k, ok := c.of.Get(name)
+	if !ok {
+		k = &kept{}
+		c.of.Add(name, k)
 	}
+	k.failed = now + c.times.Fail
 }
--- a/resolve/resolve.go
+++ b/resolve/resolve.go
@@ -136,6 +136,8 @@
 	// got slower than the waits that were learned.
 	lastWait = 500.0
 	byTCP    = 1000.0 // ms: most that a stream may take
+	// streams open at once: truncated answers would else open as many as there are names asked for
+	mostStreams = 64
 )
 
 // New makes a client.
@@ -154,7 +156,7 @@
 }
 
 // Open is how many names are asked for, and how many are kept.
-func (c *Client) Open() (flights, kept int) { return len(c.flights), len(c.cache.of) }
+func (c *Client) Open() (flights, kept int) { return len(c.flights), c.cache.of.Len() }
 
 func (c *Client) draw() uint64 {
 	c.drawn++
@@ -292,6 +294,11 @@
 
 // stream asks a server over TCP.
 func (c *Client) stream(f *flight, i int) {
+	if len(c.streams) >= mostStreams {
+		c.Counts.Full++
+		c.again(f)
+		return
+	}
 	c.seq++
 	s := &sent{flight: f, server: i, at: c.now, token: c.seq, name: c.mixed(f.name), key: try{from: c.cfg.Servers[i], id: uint16(c.draw())}}
 	data, err := c.question(s, i)
--- a/resolve/resolve_test.go
+++ b/resolve/resolve_test.go
@@ -333,6 +333,29 @@
 	}
 }
 
+// Truncated answers of many names don't open as many streams; the names that have none fail, in time.
+func TestStreamsBounded(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.servers[0].Faults = names.Faults{Delay: 5, Cut: 1, NoStream: true}
+	var all []*got
+	for i := range 500 {
+		all = append(all, r.ask(fmt.Sprint(14180000000+i), 3000))
+	}
+	most := 0
+	for r.now < 12000 {
+		r.run(r.now + 1)
+		most = max(most, len(r.c.streams))
+	}
+	if most != mostStreams {
+		t.Errorf("%d streams at once", most)
+	}
+	for i, g := range all {
+		if g.n != 1 || g.Status != Failed || g.at > 3000 {
+			t.Fatalf("name %d: %+v", i, g)
+		}
+	}
+}
+
 // An answer must match in everything: the server, the port, the id, the name to its letters, the type.
 func TestMatches(t *testing.T) {
 	r := newRig(t, 2, func(c *Config) { c.Tries = 1 })
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,8 @@
 type Front struct {
 	front.Config
 	Listen netip.AddrPort // UDP and TCP; not valid: nowhere
+	Conns  int            // streams open at once; what comes beyond is closed
+	Idle   float64        // ms: a stream on which nothing is asked is closed (RFC 7766 6.2.3)
 }
 
 // On tells whether the edge analyses numbers.
@@ -203,6 +205,7 @@
 	c.Skill = f.Text("skill", s.Default)
 	c.TTL, c.Negative = uint32(f.Int("ttl", 0, 0, 86400)), uint32(f.Int("negative", 30, 0, 86400))
 	c.Patience, c.Repeat = f.Ms("patience", 3000, 100, 60000), f.Ms("repeat", 5000, 0, 60000)
+	c.Conns, c.Idle = f.Int("streams", 256, 1, 1<<16), f.Ms("stream_idle", 10000, 100, 600000)
 	c.Gain = f.Num("gain", 6, 1, 1000)
 	c.Most, c.Keep = f.Int("most", 2000, 1, 1<<20), f.Int("keep", 10000, 1, 1<<20)
 	c.Limits = front.Limits{Rate: f.Num("rate", 50, 0, 1e6), Burst: f.Num("burst", 100, 1, 1e6), Total: f.Num("total_rate", 0, 0, 1e7),
