--- a/digits/digits.go
+++ b/digits/digits.go
@@ -1,6 +1,6 @@
 // Package digits finds the longest of many prefixes that a telephone number begins with. The trie is made for that: ten
-// ways a node, children counted by bits, prefixes that nothing follows kept as bare values, single ways run together. It
-// is built once and only read after.
+// ways a node, children counted by bits, prefixes that nothing follows kept as bare values, single ways run together, and
+// what is left of a prefix that is alone on its way in one node. It is built once and only read after.
 package digits
 
 import (
@@ -21,14 +21,15 @@
 // node is a place in the trie. A way with more than one prefix behind it is a node; a prefix that ends on a way is a
 // value. Both may be so for one digit.
 type node struct {
-	kids   uint16 // by digit; chain: a run of digits without a choice
-	ends   uint16 // by digit; in a chain how many digits it has
-	first  uint32 // the first kid; in a chain the one after it
-	values uint32 // the first value; in a chain its digits, four bits each
+	kids   uint16 // by digit; chain: a run of digits without a choice; leaf: a run that ends a prefix, alone on its way
+	ends   uint16 // by digit; in a chain or leaf how many digits it has
+	first  uint32 // the first kid; in a chain the one after it; in a leaf its value
+	values uint32 // the first value; in a chain or leaf its digits, four bits each
 }
 
 const (
 	chain    = 0xffff
+	leaf     = 0xfffe
 	mostRun  = 8       // digits that fit into a chain
 	mostSize = 1 << 31 // prefixes and nodes at most
 )
@@ -55,7 +56,10 @@
 			}
 		}
 	}
-	slices.SortStableFunc(of, func(a, b Prefix) int { return strings.Compare(a.Digits, b.Digits) })
+	inOrder := func(a, b Prefix) int { return strings.Compare(a.Digits, b.Digits) }
+	if !slices.IsSortedFunc(of, inOrder) {
+		slices.SortFunc(of, inOrder)
+	}
 	t := &Trie{}
 	for i := 1; i < len(of); i++ {
 		if of[i].Digits == of[i-1].Digits && of[i].Value != of[i-1].Value {
@@ -71,52 +75,79 @@
 	if len(of) == 0 {
 		return t, nil
 	}
-	// breadth first, so that a node's kids lie together
-	type part struct {
-		of    []Prefix
-		depth int
-		at    uint32
-	}
 	t.nodes = append(t.nodes, node{})
-	queue := []part{{of, 0, 0}}
+	t.grow(part{of, 0, 0})
+	t.nodes, t.values = slices.Clip(t.nodes), slices.Clip(t.values)
+	return t, nil
+}
+
+// part is a node to be made: the prefixes behind it, the digits before it, its place.
+type part struct {
+	of    []Prefix
+	depth int
+	at    uint32
+}
+
+// near is the most prefixes of a part that is made as a whole, so that it lies together in memory.
+const near = 64
+
+// grow makes a part breadth first, so that a node's kids lie together, and of a large one each part that is small as a whole.
+func (t *Trie) grow(p part) {
+	queue := []part{p}
 	for head := 0; head < len(queue); head++ {
-		p := queue[head]
+		q := queue[head]
 		queue[head] = part{} // let go of
-		n := node{}
-		if run := shared(p.of, p.depth); run > 0 {
-			n.kids, n.ends, n.first = chain, uint16(run), uint32(len(t.nodes))
-			for i := range run {
-				n.values |= uint32(p.of[0].Digits[p.depth+i]-'0') << (4 * i)
-			}
-			t.nodes = append(t.nodes, node{})
-			queue = append(queue, part{p.of, p.depth + run, n.first})
-			t.nodes[p.at] = n
+		if len(q.of) <= near && len(p.of) > near {
+			t.grow(q)
 			continue
 		}
-		n.first, n.values = uint32(len(t.nodes)), uint32(len(t.values))
-		for i := 0; i < len(p.of); {
-			d := p.of[i].Digits[p.depth]
-			j := i + 1
-			for j < len(p.of) && p.of[j].Digits[p.depth] == d {
-				j++
-			}
-			group := p.of[i:j]
-			if len(group[0].Digits) == p.depth+1 {
-				n.ends |= 1 << (d - '0')
-				t.values = append(t.values, group[0].Value)
-				group = group[1:]
-			}
-			if len(group) > 0 {
-				n.kids |= 1 << (d - '0')
-				queue = append(queue, part{group, p.depth + 1, uint32(len(t.nodes))})
-				t.nodes = append(t.nodes, node{})
-			}
-			i = j
+		queue = t.node(q, queue)
+	}
+}
+
+// node makes a node and adds what is behind it to the parts to be made.
+func (t *Trie) node(p part, queue []part) []part {
+	n := node{}
+	if run := len(p.of[0].Digits) - p.depth; len(p.of) == 1 && run <= mostRun {
+		t.nodes[p.at] = node{leaf, uint16(run), p.of[0].Value, packed(p.of[0].Digits[p.depth:])}
+		return queue
+	}
+	if run := shared(p.of, p.depth); run > 0 {
+		t.nodes[p.at] = node{chain, uint16(run), uint32(len(t.nodes)), packed(p.of[0].Digits[p.depth : p.depth+run])}
+		queue = append(queue, part{p.of, p.depth + run, uint32(len(t.nodes))})
+		t.nodes = append(t.nodes, node{})
+		return queue
+	}
+	n.first, n.values = uint32(len(t.nodes)), uint32(len(t.values))
+	for i := 0; i < len(p.of); {
+		d := p.of[i].Digits[p.depth]
+		j := i + 1
+		for j < len(p.of) && p.of[j].Digits[p.depth] == d {
+			j++
+		}
+		group := p.of[i:j]
+		if len(group[0].Digits) == p.depth+1 {
+			n.ends |= 1 << (d - '0')
+			t.values = append(t.values, group[0].Value)
+			group = group[1:]
+		}
+		if len(group) > 0 {
+			n.kids |= 1 << (d - '0')
+			queue = append(queue, part{group, p.depth + 1, uint32(len(t.nodes))})
+			t.nodes = append(t.nodes, node{})
 		}
-		t.nodes[p.at] = n
+		i = j
 	}
-	t.nodes, t.values = slices.Clip(t.nodes), slices.Clip(t.values)
-	return t, nil
+	t.nodes[p.at] = n
+	return queue
+}
+
+// packed is up to eight digits, four bits each.
+func packed(digits string) (p uint32) {
+	for i := range len(digits) {
+		p |= uint32(digits[i]-'0') << (4 * i)
+	}
+	return
 }
 
 // shared is how many digits from a depth on all of some prefixes share before any of them ends, as far as worth a chain:
@@ -143,7 +174,7 @@
 	at := uint32(0)
 	for i := 0; i < len(number); {
 		n := &t.nodes[at]
-		if n.kids == chain {
+		if n.kids >= leaf {
 			run := int(n.ends)
 			if len(number)-i < run {
 				return
@@ -154,6 +185,9 @@
 				}
 			}
 			i += run
+			if n.kids == leaf {
+				return n.first, i, true
+			}
 			at = n.first
 			continue
 		}
--- a/number/compile.go
+++ b/number/compile.go
@@ -249,19 +249,25 @@
 	c.t.routes[x.Name] = r
 }
 
-// entry is a prefix with one of its rules.
+// line is a rule as it is written and as it is compiled.
+type line struct {
+	of       *api.NumberRule
+	rule     *rule
+	prefixes []string
+}
+
+// entry is a prefix with the number of one of its rules; a large table has many.
 type entry struct {
 	prefix string
-	rule   *rule
-	of     *api.NumberRule
-	order  int
+	line   int
 }
 
 func (c *compiler) plan(x *api.NumberPlan) {
 	p := c.t.plans[x.Name]
-	var all []entry
+	var lines []line
 	var spans []span
-	for i, k := range x.Rules {
+	total := 0
+	for _, k := range x.Rules {
 		if k.Then == nil {
 			c.fault(k, "", "a rule without an action")
 			continue
@@ -288,45 +294,46 @@
 		}
 		if sp.from != "" {
 			sp.at = k
-			for _, o := range spans {
-				if o.crosses(sp) {
-					c.fault(k, "", "range %s-%s overlaps %s-%s%s in part", sp.from, sp.to, o.from, o.to, at(o.at))
-				}
-			}
 			spans = append(spans, sp)
 		}
-		c.t.size += len(prefixes)
-		for _, d := range prefixes {
-			if r.strip > len(d) && len(prefixes) == 1 && d != "" {
-				c.fault(k, "strip", "strip: %d digits are more than the prefix %q has", r.strip, d)
-			}
-			all = append(all, entry{d, r, k, i})
+		if d := prefixes[0]; r.strip > len(d) && len(prefixes) == 1 && d != "" {
+			c.fault(k, "strip", "strip: %d digits are more than the prefix %q has", r.strip, d)
+		}
+		lines = append(lines, line{k, r, prefixes})
+		total += len(prefixes)
+	}
+	c.spans(spans)
+	c.t.size += total
+	all := make([]entry, 0, total)
+	for i, l := range lines {
+		for _, d := range l.prefixes {
+			all = append(all, entry{d, i})
 		}
 	}
 	slices.SortFunc(all, func(a, b entry) int {
-		return cmp.Or(strings.Compare(a.prefix, b.prefix), cmp.Compare(a.order, b.order))
+		return cmp.Or(strings.Compare(a.prefix, b.prefix), cmp.Compare(a.line, b.line))
 	})
 	// prefixes with the same rules share them
 	of := make([]digits.Prefix, 0, len(all))
-	last := map[*rule]uint32{}
+	last := map[int]uint32{}
 	for i := 0; i < len(all); {
 		j := i + 1
 		for j < len(all) && all[j].prefix == all[i].prefix {
-			if o := all[j-1]; o.rule.when == nil {
-				c.fault(all[j].of, "", "rule %q is never reached:%s of the same prefix %s always holds", all[j].of.Prefix, at(o.of), o.prefix)
+			if o, k := lines[all[j-1].line], lines[all[j].line].of; o.rule.when == nil {
+				c.fault(k, "", "rule %q is never reached:%s of the same prefix %s always holds", k.Prefix, at(o.of), all[j].prefix)
 			}
 			j++
 		}
-		set, known := last[all[i].rule]
+		set, known := last[all[i].line]
 		if !known || j-i > 1 {
 			set = uint32(len(p.sets))
 			rules := make([]*rule, 0, j-i)
 			for _, e := range all[i:j] {
-				rules = append(rules, e.rule)
+				rules = append(rules, lines[e.line].rule)
 			}
 			p.sets = append(p.sets, rules)
 			if j-i == 1 {
-				last[all[i].rule] = set
+				last[all[i].line] = set
 			}
 		}
 		of = append(of, digits.Prefix{Digits: all[i].prefix, Value: set})
@@ -353,14 +360,22 @@
 	at       *api.NumberRule
 }
 
-// crosses tells whether two ranges share a part, and neither holds the other: then it would be chance which rule stands
-// for it.
-func (a span) crosses(b span) bool {
-	if len(a.from) != len(b.from) || a.to < b.from || b.to < a.from {
-		return false
-	}
-	in := func(a, b span) bool { return a.from >= b.from && a.to <= b.to }
-	return !in(a, b) && !in(b, a)
+// spans refuses ranges that share a part where neither holds the other: it would be chance which rule stands for it.
+func (c *compiler) spans(of []span) {
+	slices.SortStableFunc(of, func(a, b span) int {
+		return cmp.Or(cmp.Compare(len(a.from), len(b.from)), strings.Compare(a.from, b.from), strings.Compare(b.to, a.to))
+	})
+	var around []span // those that hold the present one, the widest first
+	for _, b := range of {
+		for len(around) > 0 && (len(around[0].from) != len(b.from) || around[len(around)-1].to < b.from) {
+			around = around[:len(around)-1]
+		}
+		if n := len(around); n > 0 && around[n-1].to < b.to {
+			a := around[n-1]
+			c.fault(b.at, "", "range %s-%s overlaps %s-%s%s in part", b.from, b.to, a.from, a.to, at(a.at))
+		}
+		around = append(around, b)
+	}
 }
 
 // prefixesOf are the prefixes that a rule stands for.
--- a/number/form_test.go
+++ b/number/form_test.go
@@ -230,3 +230,35 @@
 		}
 	})
 }
+
+// Ranges are refused just when two of them share a part and neither holds the other.
+func TestRangesCross(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		form := &api.NumberTable{Name: "t", Entry: "start", Plans: []*api.NumberPlan{{Name: "start"}},
+			Routes: []*api.NumberRoute{{Name: "r", Choices: []*api.NumberChoice{{Group: "g", Weight: 1}}}}}
+		type span struct{ lo, hi int }
+		var of []span
+		crosses := false
+		for range rapid.IntRange(1, 8).Draw(t, "ranges") {
+			length := rapid.SampledFrom([]int{1000, 10900}).Draw(t, "length") // 1000 to 1099 or 10900 to 10999
+			a, b := rapid.IntRange(0, 99).Draw(t, "from")+length, rapid.IntRange(0, 99).Draw(t, "to")+length
+			x := span{min(a, b), max(a, b)}
+			same := false
+			for _, o := range of {
+				in := func(a, b span) bool { return a.lo >= b.lo && a.hi <= b.hi }
+				crosses = crosses || x.lo <= o.hi && o.lo <= x.hi && !in(x, o) && !in(o, x)
+				same = same || x == o
+			}
+			if same {
+				continue // refused as never reached
+			}
+			of = append(of, x)
+			form.Plans[0].Rules = append(form.Plans[0].Rules, &api.NumberRule{Prefix: fmt.Sprintf("%d-%d", x.lo, x.hi),
+				Then: &api.NumberAction{Do: &api.NumberAction_Route{Route: "r"}}})
+		}
+		_, err := Compile(form)
+		if got := err != nil && strings.Contains(err.Error(), "in part"); got != crosses {
+			t.Fatalf("%v: %v", of, err)
+		}
+	})
+}
