The carrier goes along with a ported number; one settings text in the gateway's tests

Need: cic (RFC 4694) was read and dropped. A look-up brings what it found as one value, and the set-up carries cic beside npdi and rn; one that is no number is refused. Seen to fail: a set-up and a look-up without it.

--- a/edge/analysis.go
+++ b/edge/analysis.go
@@ -45,7 +45,7 @@
 		return false
 	}
 	e.drawn++
-	a, o := e.table.Begin(number.Call{Dialled: user, Looked: p.Looked, Routing: p.Routing, At: e.cfg.Epoch.Add(time.Duration(e.now * float64(time.Millisecond))),
+	a, o := e.table.Begin(number.Call{Dialled: user, Looked: p.Looked, Routing: p.Routing, Carrier: p.Carrier, At: e.cfg.Epoch.Add(time.Duration(e.now * float64(time.Millisecond))),
 		Draw: chance.Of(e.names.Seed, e.drawn)})
 	k.route.analysis, k.route.version = a, a.Table.Version
 	e.tables[a.Table]++
@@ -72,17 +72,17 @@
 	e := k.edge
 	within := min(k.route.within, e.cfg.Share*(k.Until-e.now))
 	over := false
-	done := func(now float64, what number.Answer, rn string) {
+	done := func(now float64, found number.Found) {
 		over = true
 		k.route.stop = nil
 		if k.Over {
 			return
 		}
 		e.now, e.sip.Now = now, now
-		k.goOn(k.route.analysis.Answered(what, rn))
+		k.goOn(k.route.analysis.Answered(found))
 	}
 	if e.cfg.Look == nil || within <= 0 {
-		done(e.now, number.Silent, "")
+		done(e.now, number.Found{Answer: number.Silent})
 		return
 	}
 	e.Counts.Asked++
@@ -134,6 +134,9 @@
 			k.route.params += ";rn=" + r.Routing
 		}
 	}
+	if r.Carrier != "" {
+		k.route.params += ";cic=" + r.Carrier
+	}
 	return true
 }
 
--- a/edge/analysis_test.go
+++ b/edge/analysis_test.go
@@ -78,11 +78,11 @@
 type book struct {
 	asked   []string
 	within  []float64
-	done    []func(now float64, what number.Answer, rn string)
+	done    []func(now float64, found number.Found)
 	stopped int
 }
 
-func (b *book) Ask(_ float64, digits string, within float64, done func(float64, number.Answer, string)) func() {
+func (b *book) Ask(_ float64, digits string, within float64, done func(float64, number.Found)) func() {
 	b.asked, b.within, b.done = append(b.asked, digits), append(b.within, within), append(b.done, done)
 	return func() { b.stopped++ }
 }
@@ -108,11 +108,11 @@
 	}
 	r.pass(200)
 	r.sent(caller, "SIP/2.0 100")
-	b.done[0](r.now, number.Ported, "+15145550000")
+	b.done[0](r.now, number.Found{Answer: number.Ported, Routing: "+15145550000", Carrier: "+1-6789"})
 	if got == nil || got.Skill.Name != "claim" || got.HomeNumber != 1 || got.Home != r.m.pools[1] || got.Until != got.Came+6000 {
 		t.Fatalf("offered %+v", got)
 	}
-	req := r.sent(switchB, "INVITE sip:+14185550123;npdi;rn=+70115145550000;tgrp=TG-1;")
+	req := r.sent(switchB, "INVITE sip:+14185550123;npdi;rn=+70115145550000;cic=+1-6789;tgrp=TG-1;")
 	if signal.Field(req.(*sip.Request), signal.Service) != "urn:urn-7:claim" {
 		t.Error("the wrong skill")
 	}
@@ -137,14 +137,14 @@
 	r.get(caller, callerSays("INVITE", "a1", ""))
 	r.get(caller, callerSays("CANCEL", "a1", ""))
 	r.sent(caller, "SIP/2.0 487")
-	b.done[0](r.now, number.NotPorted, "")
+	b.done[0](r.now, number.Found{Answer: number.NotPorted})
 	if b.stopped != 1 || len(r.m.heard) != 0 {
 		t.Errorf("stopped %d, the module heard %v", b.stopped, r.m.heard)
 	}
 	r.get(caller, callerSays("INVITE", "b1", ""))
 	r.pass(9500) // the look-up never returns
 	r.sent(caller, "SIP/2.0 500")
-	b.done[1](r.now, number.NotPorted, "")
+	b.done[1](r.now, number.Found{Answer: number.NotPorted})
 	if b.stopped != 2 || r.e.Counts.Overdue != 1 {
 		t.Errorf("stopped %d, overdue %d", b.stopped, r.e.Counts.Overdue)
 	}
@@ -175,7 +175,7 @@
 	}
 	r.e.Use(numbers(t, 5))
 	for i := range 1000 {
-		b.done[i](r.now, number.NotPorted, "")
+		b.done[i](r.now, number.Found{Answer: number.NotPorted})
 	}
 	for i, s := range sent {
 		if want := fmt.Sprintf("+%d14185550123;npdi", 701+i/250); s != want {
@@ -203,7 +203,7 @@
 	if old.Value() == nil {
 		t.Fatal("gone while a contact carries it")
 	}
-	b.done[0](r.now, number.NotPorted, "")
+	b.done[0](r.now, number.Found{Answer: number.NotPorted})
 	b.done = nil
 	r.answer(switchB, r.sent(switchB, "INVITE"), 200, "s1", "")
 	r.sent(caller, "SIP/2.0 200")
@@ -252,7 +252,7 @@
 	r.get(caller, callerSays("INVITE", "a1", ""))
 	r.e.Close()
 	r.list(contact.Draining)
-	b.done[0](r.now, number.Silent, "")
+	b.done[0](r.now, number.Found{Answer: number.Silent})
 	r.pass(1)
 	if len(r.m.heard) != 1 || !strings.HasPrefix(r.m.heard[0], fmt.Sprintf("ended %d", contact.Unsent)) || r.e.Counts.Barred != 1 {
 		t.Errorf("rule 3: heard %v, barred %d", r.m.heard, r.e.Counts.Barred)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -45,7 +45,7 @@
 // Lookup finds out where numbers were ported to, for tables that ask.
 type Lookup interface {
 	// Ask calls done once within the time given in ms, maybe at once; stop takes the question back.
-	Ask(now float64, digits string, within float64, done func(now float64, what number.Answer, routing string)) (stop func())
+	Ask(now float64, digits string, within float64, done func(now float64, found number.Found)) (stop func())
 	Wake(now float64)
 	Next() float64
 }
--- a/edge/enquiry_test.go
+++ b/edge/enquiry_test.go
@@ -19,7 +19,7 @@
 	if len(b.asked) != 1 || len(got) != 0 {
 		t.Fatalf("asked %v, %v", b.asked, got)
 	}
-	b.done[0](r.now, number.Ported, "+15145550000")
+	b.done[0](r.now, number.Found{Answer: number.Ported, Routing: "+15145550000"})
 	if len(got) != 1 || got[0].Code != 200 || got[0].Addr != switchB || got[0].Group != "TG-1" || got[0].Number != "+14185550123" ||
 		got[0].Params != ";npdi;rn=+70115145550000" || !got[0].Still() {
 		t.Fatalf("%+v", got)
--- a/enum/enum.go
+++ b/enum/enum.go
@@ -252,6 +252,9 @@
 			}
 			context = v
 		case "cic":
+			if n := strings.TrimPrefix(v, "+"); n == "" || strings.Trim(n, "0123456789-.()") != "" {
+				return Ported{}, fmt.Errorf("%w: cic=%s is no carrier's number", ErrBad, v)
+			}
 			p.Carrier = v
 		}
 	}
--- a/enum/enum_test.go
+++ b/enum/enum_test.go
@@ -90,6 +90,8 @@
 		{"tel:+1418;rn=", "", Ported{}, true},
 		{"tel:+1418;rn=5;rn-context=+1_x", "", Ported{}, true}, // found by fuzzing
 		{"tel:+1418;rn=5;rn-context=", "", Ported{}, true},
+		{"tel:+1418;npdi;cic=a", "", Ported{}, true},
+		{"tel:+1418;npdi;cic=", "", Ported{}, true},
 		{"tel:alice", "", Ported{}, true},
 		{"sip:+1418@x", "", Ported{}, true},
 	} {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -62,7 +62,7 @@
 	return k, l.Addr().String()
 }
 
-func config(t *testing.T, list string, host byte, drain string) *settings.Edge {
+func config(t *testing.T, list string, host byte, drain, more string) *settings.Edge {
 	t.Helper()
 	s, err := settings.Parse("test", []byte(fmt.Sprintf(`
 gateway {
@@ -90,7 +90,7 @@
   pool = 0
   size = 100
 }
-`, host, list, drain)))
+`, host, list, drain)+more))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -151,7 +151,7 @@
 	}
 	defer who.Close()
 	k.send <- &api.Update{Version: 3, Whole: true, Members: []*api.Member{{Id: "m", State: api.State_READY, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
-	set := config(t, addr, 1, "200ms")
+	set := config(t, addr, 1, "200ms", "")
 	stop, over := make(chan struct{}, 4), make(chan end, 1)
 	go func() {
 		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
@@ -192,7 +192,7 @@
 		t.Fatal("does not end")
 	}
 	// the second signal
-	set = config(t, addr, 1, "60s")
+	set = config(t, addr, 1, "60s", "")
 	k.send <- &api.Update{Version: 3, Whole: true, Members: []*api.Member{{Id: "m", State: api.State_READY, AgeMs: -1, Addr: "127.72.0.9:19062"}}}
 	go func() {
 		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
@@ -212,7 +212,7 @@
 // TestListComesBack cuts the list's stream: the gateway keeps what it had and comes back with the version of that.
 func TestListComesBack(t *testing.T) {
 	k, addr := start(t)
-	set := config(t, addr, 2, "0s")
+	set := config(t, addr, 2, "0s", "")
 	stop, over := make(chan struct{}, 4), make(chan end, 1)
 	go func() {
 		out, err := Run(context.Background(), set, mind, zerolog.Nop(), stop)
--- a/gateway/numbers.go
+++ b/gateway/numbers.go
@@ -142,7 +142,7 @@
 }
 
 // Ask implements edge.Lookup.
-func (n *numbers) Ask(now float64, digits string, within float64, done func(float64, number.Answer, string)) func() {
+func (n *numbers) Ask(now float64, digits string, within float64, done func(float64, number.Found)) func() {
 	return n.finder.Ask(now, digits, within, done)
 }
 
--- a/gateway/numbers_test.go
+++ b/gateway/numbers_test.go
@@ -96,32 +96,7 @@
 	}
 	admin := "127.72.0.11:19092"
 	read := func() *settings.Edge {
-		s, err := settings.Parse("test", []byte(fmt.Sprintf(`
-gateway {
-  name = "e"
-  sip = "127.72.0.11:19062"
-  peer = "127.72.0.11:19072"
-  trunk_context = "x.example"
-  drain_within = "0s"
-}
-list {
-  addr = %q
-}
-rules {
-  clear_wait = "500ms"
-  cold_share = 0.36
-  warm_within = "14s"
-  tip_multiple = 2.5
-  tip_time = "1s"
-}
-skill "shift-lookup" {
-  target = "2s"
-  patience = "9s"
-}
-group "TG-0" {
-  pool = 0
-  size = 100
-}
+		return config(t, list, 11, "0s", fmt.Sprintf(`
 numbers {
   table = %q
   store = %q
@@ -138,11 +113,7 @@
     rate = 1000
   }
 }
-`, list, table(1, "TG-0"), filepath.Join(dir, "store"), admin, server.Addr())))
-		if err != nil {
-			t.Fatal(err)
-		}
-		return s
+`, table(1, "TG-0"), filepath.Join(dir, "store"), admin, server.Addr()))
 	}
 	stop, over := make(chan struct{}, 4), make(chan end, 1)
 	run := func() {
--- a/number/number.go
+++ b/number/number.go
@@ -95,6 +95,7 @@
 	Number   string // the number called, as it is sent on
 	Routing  string // the routing number that stands for it, "": portability was not looked up or it is not ported
 	Looked   bool   // portability was looked up (RFC 4694 npdi)
+	Carrier  string // the carrier that serves it (RFC 4694 cic), "": none is named
 }
 
 // Outcome is what an analysis came to, or waits for; one of them is set.
@@ -115,20 +116,28 @@
 	Silent                  // none in time, or a fault
 )
 
+// Found is what a look-up brought.
+type Found struct {
+	Answer  Answer
+	Routing string // Ported: the routing number (RFC 4694 rn)
+	Carrier string // the carrier (RFC 4694 cic), "": none is named
+}
+
 // Analysis is one contact's way through a table.
 type Analysis struct {
-	Table  *Table
-	Steps  []string // what was done and why, where Explain is set
-	number string   // what rules look at: the number called, or the routing number that stands for it
-	called string   // set once a routing number stands for it
-	at     time.Time
-	draw   float64
-	now    action
-	asked  *question
-	silent bool // it had no answer
-	looked bool // portability is looked up once only (RFC 4694 npdi)
-	steps  int
-	text   bool
+	Table   *Table
+	Steps   []string // what was done and why, where Explain is set
+	number  string   // what rules look at: the number called, or the routing number that stands for it
+	called  string   // set once a routing number stands for it
+	at      time.Time
+	draw    float64
+	now     action
+	asked   *question
+	carrier string
+	silent  bool // it had no answer
+	looked  bool // portability is looked up once only (RFC 4694 npdi)
+	steps   int
+	text    bool
 }
 
 // Normal makes digits of what was dialled: "+" and "00" are international, a leading 0 is dropped from a national number,
@@ -170,6 +179,7 @@
 	Dialled string
 	Looked  bool   // portability was looked up by somebody before us (RFC 4694 npdi)
 	Routing string // the routing number that was found then, "": none
+	Carrier string // the carrier that was named with it
 	At      time.Time
 	Draw    float64 // 0 to 1, drawn for weights
 	Explain bool    // keep the steps
@@ -177,7 +187,7 @@
 
 // Begin starts the analysis of a number. The first outcome comes with it.
 func (t *Table) Begin(c Call) (*Analysis, Outcome) {
-	a := &Analysis{Table: t, at: c.At, draw: c.Draw, looked: c.Looked, text: c.Explain, now: action{plan: t.entry}}
+	a := &Analysis{Table: t, at: c.At, draw: c.Draw, looked: c.Looked, carrier: c.Carrier, text: c.Explain, now: action{plan: t.entry}}
 	n, err := Normal(c.Dialled, t.Country)
 	if err != nil {
 		a.say("%v", err)
@@ -198,7 +208,8 @@
 }
 
 // Answered goes on after a question. A routing number that makes no sense counts as silence.
-func (a *Analysis) Answered(what Answer, routing string) Outcome {
+func (a *Analysis) Answered(found Found) Outcome {
+	what, routing := found.Answer, found.Routing
 	q := a.asked
 	if q == nil {
 		return Outcome{Refusal: &Refusal{500, "nothing was asked"}}
@@ -213,6 +224,9 @@
 			a.called, a.number = a.number, n
 		}
 	}
+	if what != Silent {
+		a.carrier = found.Carrier
+	}
 	switch what {
 	case Ported:
 		a.say("ported: %s", a.number)
@@ -289,7 +303,7 @@
 
 // take chooses among a route's trunk groups by their weights.
 func (a *Analysis) take(r *route) *Route {
-	out := &Route{Name: r.name, Skill: r.skill, Customer: r.customer, Number: "+" + a.number, Looked: a.looked && !a.silent}
+	out := &Route{Name: r.name, Skill: r.skill, Customer: r.customer, Number: "+" + a.number, Looked: a.looked && !a.silent, Carrier: a.carrier}
 	if a.called != "" {
 		out.Number, out.Routing = "+"+a.called, "+"+a.number
 	}
@@ -348,11 +362,11 @@
 	if o.Ask != "" {
 		switch {
 		case routing != "":
-			a.Answered(Ported, routing)
+			a.Answered(Found{Answer: Ported, Routing: routing})
 		case silent:
-			a.Answered(Silent, "")
+			a.Answered(Found{Answer: Silent})
 		default:
-			a.Answered(NotPorted, "")
+			a.Answered(Found{Answer: NotPorted})
 		}
 	}
 	return a.Steps
--- a/number/number_test.go
+++ b/number/number_test.go
@@ -158,12 +158,12 @@
 	} {
 		a, o := x.Begin(Call{Dialled: c.number, At: c.at, Draw: c.draw, Explain: true})
 		if o.Ask != "" {
-			o = a.Answered(c.what, c.rn)
+			o = a.Answered(Found{Answer: c.what, Routing: c.rn})
 		}
 		if got := result(o); got != c.want {
 			t.Errorf("%q at %v: %s, want %s\n  %s", c.number, c.at, got, c.want, strings.Join(a.Steps, "\n  "))
 		}
-		if again := a.Answered(Silent, ""); again.Refusal == nil {
+		if again := a.Answered(Found{Answer: Silent}); again.Refusal == nil {
 			t.Errorf("%q: answered with nothing asked: %v", c.number, result(again))
 		}
 	}
@@ -249,7 +249,7 @@
 		}
 		a, o := x.Begin(Call{Dialled: dialled, At: time.Unix(1.8e9, 0), Draw: 0.5, Explain: true})
 		if o.Ask != "" {
-			a.Answered(Ported, dialled)
+			a.Answered(Found{Answer: Ported, Routing: dialled})
 		}
 	})
 }
--- a/ported/ported.go
+++ b/ported/ported.go
@@ -35,11 +35,11 @@
 
 // Ask looks a number up, digits only. done is called once within the time given, maybe at once; stop takes the question
 // back. Rules that make no sense count as silence: what is done then is settled by the number's table.
-func (f *Finder) Ask(now float64, digits string, within float64, done func(now float64, what number.Answer, routing string)) (stop func()) {
+func (f *Finder) Ask(now float64, digits string, within float64, done func(now float64, found number.Found)) (stop func()) {
 	name, err := enum.Domain(digits, f.Apex)
 	if err != nil {
 		f.Counts.Bad++
-		done(now, number.Silent, "")
+		done(now, number.Found{Answer: number.Silent})
 		return func() {}
 	}
 	until, seen := now+within, map[string]bool{}
@@ -48,7 +48,7 @@
 	step = func(now float64, name string) {
 		if seen[name] || len(seen) == mostSteps {
 			f.Counts.Bad++
-			done(now, number.Silent, "")
+			done(now, number.Found{Answer: number.Silent})
 			return
 		}
 		seen[name] = true
@@ -59,12 +59,12 @@
 			if a.Stale {
 				f.Counts.Stale++
 			}
-			next, what, routing := f.read("+"+digits, a)
+			next, found := f.read("+"+digits, a)
 			if next != "" {
 				step(now, next)
 				return
 			}
-			done(now, what, routing)
+			done(now, found)
 		}
 		undo = f.Asker.Ask(now, name, until-now, take)
 	}
@@ -76,35 +76,35 @@
 }
 
 // read says what an answer comes to: a domain that goes on, or an end.
-func (f *Finder) read(full string, a resolve.Answer) (next string, what number.Answer, routing string) {
+func (f *Finder) read(full string, a resolve.Answer) (next string, found number.Found) {
 	switch a.Status {
 	case resolve.Failed:
 		f.Counts.Silent++
-		return "", number.Silent, ""
+		return "", number.Found{Answer: number.Silent}
 	case resolve.None:
 		f.Counts.Same++
-		return "", number.NotPorted, ""
+		return "", number.Found{Answer: number.NotPorted}
 	}
 	res, err := enum.Apply(full, a.Rules, f.Services...)
 	switch {
 	case errors.Is(err, enum.ErrNoRule): // rules for other things only
 		f.Counts.Same++
-		return "", number.NotPorted, ""
-	case err != nil:
-		f.Counts.Bad++
-		return "", number.Silent, ""
-	case res.Next != "":
-		return res.Next, 0, ""
+		return "", number.Found{Answer: number.NotPorted}
+	case err == nil && res.Next != "":
+		return res.Next, number.Found{}
+	}
+	var p enum.Ported
+	if err == nil {
+		_, p, err = enum.Tel(res.URI)
 	}
-	_, p, err := enum.Tel(res.URI)
 	switch {
 	case err != nil:
 		f.Counts.Bad++
-		return "", number.Silent, ""
+		return "", number.Found{Answer: number.Silent}
 	case p.Routing == "":
 		f.Counts.Same++
-		return "", number.NotPorted, ""
+		return "", number.Found{Answer: number.NotPorted, Carrier: p.Carrier}
 	}
 	f.Counts.Ported++
-	return "", number.Ported, p.Routing
+	return "", number.Found{Answer: number.Ported, Routing: p.Routing, Carrier: p.Carrier}
 }
--- a/ported/ported_test.go
+++ b/ported/ported_test.go
@@ -39,25 +39,26 @@
 func TestFind(t *testing.T) {
 	loop := rules(enum.Rule{Replacement: "1.p.test."})
 	b := &book{of: map[string]resolve.Answer{
-		"1.p.test.": loop,
-		"2.p.test.": rules(tel(`!^(.*)$!tel:\1;npdi;rn=+1514!`)),
-		"3.p.test.": rules(tel(`!^(.*)$!tel:\1;npdi!`)),
-		"4.p.test.": {Status: resolve.None},
-		"5.p.test.": rules(tel(`!^(.*)$!tel:\1;npdi;rn=+1;rn=+2!`)),
-		"6.p.test.": rules(enum.Rule{Flags: "u", Service: "E2U+sip", Regexp: "!^.*$!sip:a@x!"}),
-		"7.p.test.": rules(enum.Rule{Replacement: "2.p.test."}),
-		"8.p.test.": rules(tel(`!^(.*$!tel:1!`)),
-		"9.p.test.": rules(tel(`!^.*$!sip:a@x!`)),
+		"1.p.test.":   loop,
+		"2.p.test.":   rules(tel(`!^(.*)$!tel:\1;npdi;rn=+1514!`)),
+		"8.7.p.test.": rules(tel(`!^(.*)$!tel:\1;npdi;rn=+1514;cic=+1-6789!`)),
+		"3.p.test.":   rules(tel(`!^(.*)$!tel:\1;npdi!`)),
+		"4.p.test.":   {Status: resolve.None},
+		"5.p.test.":   rules(tel(`!^(.*)$!tel:\1;npdi;rn=+1;rn=+2!`)),
+		"6.p.test.":   rules(enum.Rule{Flags: "u", Service: "E2U+sip", Regexp: "!^.*$!sip:a@x!"}),
+		"7.p.test.":   rules(enum.Rule{Replacement: "2.p.test."}),
+		"8.p.test.":   rules(tel(`!^(.*$!tel:1!`)),
+		"9.p.test.":   rules(tel(`!^.*$!sip:a@x!`)),
 	}}
 	for i := range 9 {
 		b.of[fmt.Sprintf("far%d.test.", i)] = rules(enum.Rule{Replacement: fmt.Sprintf("far%d.test.", i+1)})
 	}
 	b.of["0.p.test."] = rules(enum.Rule{Replacement: "far0.test."})
 	f := &Finder{Asker: b, Apex: "p.test", Services: []string{"pstn:tel"}}
-	for n, want := range map[string]string{"1": "2 ", "2": "1 +1514", "3": "0 ", "4": "0 ", "5": "2 ", "6": "0 ", "7": "1 +1514", "8": "2 ",
+	for n, want := range map[string]string{"1": "2 ", "2": "1 +1514", "3": "0 ", "4": "0 ", "5": "2 ", "6": "0 ", "7": "1 +1514", "78": "1 +1514+1-6789", "8": "2 ",
 		"9": "2 ", "0": "2 ", "77": "2 ", "": "2 "} {
 		calls, got := 0, ""
-		f.Ask(0, n, 500, func(_ float64, what number.Answer, rn string) { calls++; got = fmt.Sprint(int(what), " ", rn) })
+		f.Ask(0, n, 500, func(_ float64, f number.Found) { calls++; got = fmt.Sprint(int(f.Answer), " ", f.Routing, f.Carrier) })
 		if calls != 1 || got != want {
 			t.Errorf("%q: %q, %d times; want %q", n, got, calls, want)
 		}
@@ -69,7 +70,7 @@
 	b := &book{later: true, of: map[string]resolve.Answer{"7.p.test.": rules(enum.Rule{Replacement: "2.p.test."}), "2.p.test.": rules(tel(`!^.*$!tel:+1;rn=+2!`))}}
 	f := &Finder{Asker: b, Apex: "p.test", Services: []string{"pstn:tel"}}
 	calls := 0
-	stop := f.Ask(0, "7", 500, func(float64, number.Answer, string) { calls++ })
+	stop := f.Ask(0, "7", 500, func(float64, number.Found) { calls++ })
 	b.waiting[0]()
 	if len(b.withins) != 2 || b.withins[1] != 400 {
 		t.Errorf("times given: %v", b.withins)
