Guards of look-ups that no test saw broken; an answer too long is a failure, not silence

Generated inputs had found a look-up left without any answer: a URI longer than a character string can't be packed, and nothing was sent. It is SERVFAIL now.

--- a/front/front.go
+++ b/front/front.go
@@ -306,9 +306,13 @@
 
 func (f *Front) put(r reply, out *dns.Msg) {
 	b, err := out.Pack()
-	if err != nil { // never: it was made of what was read
+	if err != nil { // a text of the answer is longer than a character string may be (RFC 1035 3.3)
 		f.Counts.Failed++
-		return
+		fail := new(dns.Msg)
+		fail.SetRcode(r.msg, dns.RcodeServerFailure)
+		if b, err = fail.Pack(); err != nil {
+			return // never: it is what was read
+		}
 	}
 	r.send(b)
 }
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -121,6 +121,18 @@
 	}
 }
 
+// A name too long for any answer is a failure that the kiosk hears of. Found by generated inputs.
+func TestTooLong(t *testing.T) {
+	r := newRig(t, nil)
+	n := r.d.named()
+	n.Params = strings.Repeat("x", 250)
+	r.d.atOnce = &n
+	r.ask(kiosk, query(name, dns.TypeNAPTR, 1, 1232), true)
+	if len(r.got) != 1 || r.got[0].Rcode != dns.RcodeServerFailure || r.got[0].Id != 1 || len(r.got[0].Question) != 1 {
+		t.Errorf("%v", r.got)
+	}
+}
+
 // What is no question for a number here is answered without any contact, and an answer is never answered.
 func TestOthers(t *testing.T) {
 	r := newRig(t, nil)
--- a/resolve/resolve_test.go
+++ b/resolve/resolve_test.go
@@ -356,28 +356,51 @@
 	}
 }
 
+// pending is the one question that is out.
+func (r *rig) pending() *sent {
+	for _, s := range r.c.tries {
+		return s
+	}
+	for _, s := range r.c.streams {
+		return s
+	}
+	r.t.Fatal("no question is out")
+	return nil
+}
+
+// reply is an answer to a question, changed by a test.
+func (r *rig) reply(s *sent, change func(m *dns.Msg)) []byte {
+	m := new(dns.Msg)
+	m.SetQuestion(s.name, dns.TypeNAPTR)
+	m.Id, m.Response, m.Authoritative = s.key.id, true, true
+	m.Answer = []dns.RR{naptr(s.name)}
+	if change != nil {
+		change(m)
+	}
+	b, err := m.Pack()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return b
+}
+
+func naptr(name string) dns.RR {
+	return &dns.NAPTR{Hdr: dns.RR_Header{Name: name, Rrtype: dns.TypeNAPTR, Class: dns.ClassINET, Ttl: 60}, Flags: "u", Service: "E2U+sip",
+		Regexp: "!^.*$!sip:a@x!", Replacement: "."}
+}
+
+// silent is a rig whose servers say nothing: a test answers.
+func silent(t testing.TB, change func(*Config)) *rig {
+	r := newRig(t, 1, change)
+	r.servers[0].Faults = names.Faults{Silent: true}
+	return r
+}
+
 // An answer must match in everything: the server, the port, the id, the name to its letters, the type.
 func TestMatches(t *testing.T) {
-	r := newRig(t, 2, func(c *Config) { c.Tries = 1 })
-	r.servers[0].Faults.Silent, r.servers[1].Faults.Silent = true, true
+	r := silent(t, func(c *Config) { c.Tries = 1 })
 	g := r.ask("14185551234", 5000)
-	var s *sent
-	for _, x := range r.c.tries {
-		s = x
-	}
-	answer := func(change func(m *dns.Msg)) []byte {
-		m := new(dns.Msg)
-		m.SetQuestion(s.name, dns.TypeNAPTR)
-		m.Id, m.Response, m.Authoritative = s.key.id, true, true
-		m.Answer = []dns.RR{&dns.NAPTR{Hdr: dns.RR_Header{Name: s.name, Rrtype: dns.TypeNAPTR, Class: dns.ClassINET, Ttl: 60}, Flags: "u", Service: "E2U+sip",
-			Regexp: "!^.*$!sip:a@x!", Replacement: "."}}
-		change(m)
-		b, err := m.Pack()
-		if err != nil {
-			t.Fatal(err)
-		}
-		return b
-	}
+	s := r.pending()
 	other := func(n string) string {
 		for i, c := range n {
 			if c >= 'a' && c <= 'z' {
@@ -386,23 +409,17 @@
 		}
 		return n
 	}
-	good := func(*dns.Msg) {}
+	get := func(change func(m *dns.Msg)) { r.c.Receive(1, s.key.port, s.key.from, r.reply(s, change)) }
 	for what, send := range map[string]func(){
-		"another server": func() { r.c.Receive(1, s.key.port, addr(5), answer(good)) },
-		"another port":   func() { r.c.Receive(1, s.key.port+1, s.key.from, answer(good)) },
-		"another id":     func() { r.c.Receive(1, s.key.port, s.key.from, answer(func(m *dns.Msg) { m.Id++ })) },
-		"another name": func() {
-			r.c.Receive(1, s.key.port, s.key.from, answer(func(m *dns.Msg) { m.Question[0].Name = "1." + s.name }))
-		},
-		"other letters": func() {
-			r.c.Receive(1, s.key.port, s.key.from, answer(func(m *dns.Msg) { m.Question[0].Name = other(s.name) }))
-		},
-		"another type": func() {
-			r.c.Receive(1, s.key.port, s.key.from, answer(func(m *dns.Msg) { m.Question[0].Qtype = dns.TypeTXT }))
-		},
-		"no question":    func() { r.c.Receive(1, s.key.port, s.key.from, answer(func(m *dns.Msg) { m.Question = nil })) },
-		"a question":     func() { r.c.Receive(1, s.key.port, s.key.from, answer(func(m *dns.Msg) { m.Response = false })) },
-		"cut off":        func() { r.c.Receive(1, s.key.port, s.key.from, answer(good)[:40]) },
+		"another server": func() { r.c.Receive(1, s.key.port, addr(5), r.reply(s, nil)) },
+		"another port":   func() { r.c.Receive(1, s.key.port+1, s.key.from, r.reply(s, nil)) },
+		"another id":     func() { get(func(m *dns.Msg) { m.Id++ }) },
+		"another name":   func() { get(func(m *dns.Msg) { m.Question[0].Name = "1." + s.name }) },
+		"other letters":  func() { get(func(m *dns.Msg) { m.Question[0].Name = other(s.name) }) },
+		"another type":   func() { get(func(m *dns.Msg) { m.Question[0].Qtype = dns.TypeTXT }) },
+		"no question":    func() { get(func(m *dns.Msg) { m.Question = nil }) },
+		"a question":     func() { get(func(m *dns.Msg) { m.Response = false }) },
+		"cut off":        func() { r.c.Receive(1, s.key.port, s.key.from, r.reply(s, nil)[:40]) },
 		"nearly nothing": func() { r.c.Receive(1, s.key.port, s.key.from, []byte{1}) },
 	} {
 		before := r.c.Counts.Strays
@@ -410,11 +427,197 @@
 			t.Fatalf("%s: %d answers, %d strays", what, g.n, r.c.Counts.Strays-before)
 		}
 	}
-	if r.c.Receive(1, s.key.port, s.key.from, answer(good)); g.n != 1 || g.Status != Found {
+	if get(nil); g.n != 1 || g.Status != Found {
 		t.Errorf("the right one: %+v", g)
 	}
 }
 
+// Over TCP too an answer must match, and have the id that was sent.
+func TestStreamMatches(t *testing.T) {
+	for what, change := range map[string]func(m *dns.Msg){"another id": func(m *dns.Msg) { m.Id++ }, "another name": func(m *dns.Msg) { m.Question[0].Name = "1.e164.test." },
+		"the right one": nil} {
+		r := silent(t, func(c *Config) { c.Tries = 1 })
+		g := r.ask("14185551234", 5000)
+		s := r.pending()
+		r.c.Receive(1, s.key.port, s.key.from, r.reply(s, func(m *dns.Msg) { m.Truncated = true }))
+		s = r.pending()
+		r.now = 2
+		r.c.Streamed(2, s.token, r.reply(s, change))
+		if (g.Status == Found && g.n == 1) != (change == nil) {
+			t.Errorf("%s: %+v", what, g)
+		}
+		if r.run(3000); g.n != 1 {
+			t.Errorf("%s: %d answers", what, g.n)
+		}
+	}
+}
+
+// What is read of an answer: names of names are followed; a zone's end of another zone says nothing, and who only points
+// elsewhere has not said that there is none.
+func TestRead(t *testing.T) {
+	soa := func(zone string) []dns.RR {
+		return []dns.RR{&dns.SOA{Hdr: dns.RR_Header{Name: zone, Rrtype: dns.TypeSOA, Class: dns.ClassINET, Ttl: 60}, Ns: "n.", Mbox: "m.", Minttl: 60}}
+	}
+	cname := func(from, to string) dns.RR {
+		return &dns.CNAME{Hdr: dns.RR_Header{Name: from, Rrtype: dns.TypeCNAME, Class: dns.ClassINET, Ttl: 60}, Target: to}
+	}
+	for what, c := range map[string]struct {
+		change func(m *dns.Msg)
+		want   Status
+	}{
+		"a name of a name": {func(m *dns.Msg) {
+			m.Answer = []dns.RR{naptr("b.test."), cname(m.Question[0].Name, "a.test."), cname("a.test.", "b.test.")}
+		}, Found},
+		"names in a ring": {func(m *dns.Msg) {
+			m.Answer = []dns.RR{cname(m.Question[0].Name, "a.test."), cname("a.test.", m.Question[0].Name)}
+		}, None},
+		"none, by the zone": {func(m *dns.Msg) {
+			m.Answer, m.Authoritative, m.Rcode, m.Ns = nil, false, dns.RcodeNameError, soa("e164.test.")
+		}, None},
+		"none, by another zone": {func(m *dns.Msg) {
+			m.Answer, m.Authoritative, m.Rcode, m.Ns = nil, false, dns.RcodeNameError, soa("other.test.")
+		}, Failed},
+		"pointed elsewhere": {func(m *dns.Msg) {
+			m.Answer, m.Authoritative, m.RecursionAvailable = nil, false, true
+			m.Ns = []dns.RR{&dns.NS{Hdr: dns.RR_Header{Name: "e164.test.", Rrtype: dns.TypeNS, Class: dns.ClassINET, Ttl: 60}, Ns: "n.test."}}
+		}, Failed},
+		"a fault": {func(m *dns.Msg) { m.Rcode = dns.RcodeServerFailure }, Failed},
+	} {
+		r := silent(t, func(c *Config) { c.Tries = 1 })
+		g := r.ask("14185551234", 5000)
+		s := r.pending()
+		r.c.Receive(1, s.key.port, s.key.from, r.reply(s, c.change))
+		if r.run(3000); g.n != 1 || g.Status != c.want {
+			t.Errorf("%s: %+v, want %d", what, g, c.want)
+		}
+	}
+}
+
+// How long what is kept: no shorter and no longer than the bounds, whatever the TTL; a name that failed is left alone for a
+// while, and asked for again after it.
+func TestKept(t *testing.T) {
+	for _, c := range []struct{ ttl, kept float64 }{{0, 1000}, {60, 60e3}, {1e6, 3600e3}} {
+		r := silent(t, nil)
+		r.ask("1", 500)
+		s := r.pending()
+		r.c.Receive(0, s.key.port, s.key.from, r.reply(s, func(m *dns.Msg) { m.Answer[0].Header().Ttl = uint32(c.ttl) }))
+		r.now = c.kept - 1
+		if g := r.ask("1", 500); !g.Cached || g.Stale {
+			t.Errorf("TTL %v s, %v ms later: %+v", c.ttl, r.now, g)
+		}
+		r.now = c.kept + 1
+		if g := r.ask("1", 500); g.n != 0 {
+			t.Errorf("TTL %v s, %v ms later: %+v", c.ttl, r.now, g)
+		}
+	}
+	r := newRig(t, 2, nil)
+	for _, s := range r.servers {
+		s.Faults = names.Faults{Delay: 5, ServFail: true}
+	}
+	r.c.cfg.Tries = 2 // so that no server counts as lame
+	g := r.ask("1", 5000)
+	r.run(1000)
+	if sent := r.sent[0] + r.sent[1]; g.n != 1 || g.Status != Failed || sent != 2 {
+		t.Fatalf("%+v, %d sent", g, sent)
+	}
+	if g := r.ask("1", 500); g.n != 1 || r.sent[0]+r.sent[1] != 2 {
+		t.Errorf("soon after: %+v, sent %v", g, r.sent)
+	}
+	r.run(2000)
+	if g := r.ask("1", 500); g.n != 0 {
+		t.Errorf("later: %+v", g)
+	}
+}
+
+// What ran out is served when nothing newer comes soon, though the answer is on its way; and that one is kept.
+func TestStaleAfter(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.servers[0].Zone.TTL = 1
+	n := r.ported()
+	r.ask(n, 500)
+	r.run(2000)
+	r.servers[0].Faults.Delay = 300
+	at := r.now
+	g := r.ask(n, 1000)
+	r.run(at + 900)
+	if g.n != 1 || !g.Stale || g.at != at+100 {
+		t.Errorf("%+v, asked at %v", g, at)
+	}
+	if g := r.ask(n, 1000); !g.Cached || g.Stale {
+		t.Errorf("then: %+v", g)
+	}
+}
+
+// Answers that come after the last question was given up still count.
+func TestSlowAll(t *testing.T) {
+	r := newRig(t, 1, func(c *Config) { c.Tries = 1 })
+	r.servers[0].Faults.Delay = 600
+	g := r.ask(r.ported(), 2000)
+	if r.run(2000); g.n != 1 || g.Status != Found || g.at < 600 {
+		t.Errorf("%+v", g)
+	}
+}
+
+// A server that knows no EDNS is asked without it from then on.
+func TestNoEDNS(t *testing.T) {
+	r := newRig(t, 1, nil)
+	r.servers[0].Faults.NoEDNS = true
+	for i := range 20 {
+		g := r.ask(fmt.Sprint(14180000000+i), 500)
+		if r.run(r.now + 500); g.n != 1 || g.Status == Failed {
+			t.Fatalf("%+v", g)
+		}
+	}
+	if r.sent[0] != 21 {
+		t.Errorf("%d datagrams for 20 names, want one more", r.sent[0])
+	}
+}
+
+// What counts against a server, and what does not.
+func TestHealth(t *testing.T) {
+	h := NewHealth(2)
+	h.Lame(0, 1)
+	h.Lame(0, 2)
+	if h.Up(3) != 2 {
+		t.Error("lame after two faults: they may be the names'")
+	}
+	h.Sound(0)
+	h.Lame(0, 4)
+	h.Lame(0, 5)
+	if h.Up(6) != 2 {
+		t.Error("lame though a good answer came between")
+	}
+	if h.Lame(0, 7); h.Up(8) != 1 || h.Up(7+lameAway) != 2 {
+		t.Errorf("three faults in a row: %d up, after a while %d", h.Up(8), h.Up(7+lameAway))
+	}
+	h = NewHealth(1)
+	h.Answered(0, 100, 10)
+	for range 10 {
+		h.Missed(0, 500, 90)
+	}
+	if h.Up(500) != 1 {
+		t.Error("down by what was sent before its latest answer")
+	}
+	for i := range 10 {
+		h.Missed(0, 600, 510+float64(i))
+	}
+	if h.Up(600) != 1 {
+		t.Error("down within 90 ms: that is a burst that it was late for")
+	}
+	if h.Missed(0, 510+silence, 600); h.Up(510+silence) != 0 {
+		t.Error("up after a dozen misses and 250 ms")
+	}
+	h = NewHealth(1)
+	h.Answered(0, 0, 40)
+	_, first := h.Pick(1, nil, 0.5)
+	if _, again := h.Pick(1, []int{0}, 0.5); again != 2*first {
+		t.Errorf("waits %v, again %v", first, again)
+	}
+	if _, again := h.Pick(1, []int{0, 0, 0, 0, 0, 0, 0, 0}, 0.5); again != mostWait {
+		t.Errorf("waits %v after many tries", again)
+	}
+}
+
 // Ids, ports and letters are drawn: who guesses has all of them to guess.
 func TestChance(t *testing.T) {
 	r := newRig(t, 1, nil)
