A gateway that can't start says why: its log no longer closes standard error

Cause: the log's writer closed standard error at its end, before the program printed why it ended, so that an address that is taken, a store that another process has and a forced end all ended with status 1 and no word. Found by running the commands as a new user. Seen to fail before.

--- a/edgecmd/edgecmd.go
+++ b/edgecmd/edgecmd.go
@@ -75,7 +75,7 @@
 				w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly}
 			}
 			// a reader of the log that is slow loses lines; the loop goes on
-			d := diode.NewWriter(w, 4096, 10*time.Millisecond, nil)
+			d := diode.NewWriter(open{w}, 4096, 10*time.Millisecond, nil)
 			defer d.Close()
 			log := zerolog.New(d).Level(level).With().Timestamp().Str("gateway", set.Name).Logger()
 			signals, stop := make(chan os.Signal, 4), make(chan struct{}, 4)
@@ -98,6 +98,9 @@
 	return c
 }
 
+// open hides that a writer can be closed: the log's end would else close standard error, and with it why the gateway ended.
+type open struct{ io.Writer }
+
 // collect is the collector's percentage where GOGC sets none: a gateway holds little and makes much garbage, and the
 // collector's passes are what adds to its slowest answers.
 const collect = 400
