--- a/gateway/numbers.go
+++ b/gateway/numbers.go
@@ -44,16 +44,7 @@
 // openNumbers finds the table that runs and opens the resolver's sockets.
 func (g *Gateway) openNumbers() (*numbers, error) {
 	set := &g.set.Numbers
-	n := &numbers{g: g, set: set}
-	for _, k := range g.set.Set.Skills {
-		n.has.Skills = append(n.has.Skills, k.Name)
-	}
-	for _, c := range g.set.Set.Customers {
-		n.has.Customers = append(n.has.Customers, c.Name)
-	}
-	for _, x := range g.set.Groups {
-		n.has.Groups = append(n.has.Groups, x.Name)
-	}
+	n := &numbers{g: g, set: set, has: g.set.Names()}
 	var shelf tables.Shelf
 	if set.Store != "" {
 		s, err := tablefile.Open(set.Store)
--- a/numbercmd/numbercmd.go
+++ b/numbercmd/numbercmd.go
@@ -18,6 +18,7 @@
 
 	"cobaltpier/api"
 	"cobaltpier/number"
+	"cobaltpier/settings"
 	"cobaltpier/tablefile"
 )
 
@@ -37,12 +38,23 @@
 }
 
 func check() *cobra.Command {
-	return &cobra.Command{Use: "check TABLE", Short: "Compile a table and say what is wrong with it, with file and line", Args: cobra.ExactArgs(1),
+	var config string
+	c := &cobra.Command{Use: "check TABLE", Short: "Compile a table and say what is wrong with it, with file and line", Args: cobra.ExactArgs(1),
+		Example: "  cobalt-edge number check staff.hcl --config edge.hcl",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			t, _, err := tablefile.Load(args[0])
 			if err != nil {
 				return err
 			}
+			if config != "" {
+				set, err := settings.Load(config)
+				if err != nil {
+					return err
+				}
+				if err := t.Fits(set.Names()); err != nil {
+					return fmt.Errorf("%s: %w", args[0], err)
+				}
+			}
 			for _, w := range t.Warnings {
 				fmt.Fprintf(cmd.ErrOrStderr(), "%s: warning: %s\n", args[0], w)
 			}
@@ -51,6 +63,8 @@
 				t.Name, t.Version, t.Sum[:16], t.Size(), n.Skills, n.Customers, n.Groups)
 			return nil
 		}}
+	c.Flags().StringVar(&config, "config", "", "also check that a gateway with these settings has all that the table names")
+	return c
 }
 
 func explain() *cobra.Command {
--- a/numbercmd/numbercmd_test.go
+++ b/numbercmd/numbercmd_test.go
@@ -83,6 +83,38 @@
 	if _, err := run("check", file("x.table", "nothing")); err == nil || !strings.Contains(err.Error(), "neither HCL nor the compact form") {
 		t.Error(err)
 	}
+	edge := file("edge.hcl", `
+gateway {
+  name = "e"
+  sip = "127.0.0.1:5060"
+  peer = "127.0.0.1:5070"
+  trunk_context = "x.example"
+}
+list {
+  addr = "127.0.0.1:7000"
+}
+rules {
+  clear_wait = "500ms"
+  cold_share = 0.36
+  warm_within = "14s"
+  tip_multiple = 2.5
+  tip_time = "1s"
+}
+skill "shift-lookup" {
+  target = "2s"
+  patience = "9s"
+}
+group "TG-0" {
+  pool = 0
+  size = 100
+}
+`)
+	if _, err := run("check", hcl, "--config", edge); err == nil || !strings.Contains(err.Error(), `trunk group "TG-1"`) {
+		t.Error(err)
+	}
+	if _, err := run("check", file("one.hcl", strings.Replace(table, "TG-1", "TG-0", 1)), "--config", edge); err != nil {
+		t.Error(err)
+	}
 	if _, err := run("explain", out); err == nil {
 		t.Error("explained without a number")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 	"cobaltpier/edge"
 	"cobaltpier/front"
 	"cobaltpier/intake"
+	"cobaltpier/number"
 	"cobaltpier/resolve"
 	"cobaltpier/signal"
 )
@@ -38,6 +39,20 @@
 	Services []string
 }
 
+// Names are what number tables may name here.
+func (s *Edge) Names() (n number.Names) {
+	for _, k := range s.Set.Skills {
+		n.Skills = append(n.Skills, k.Name)
+	}
+	for _, c := range s.Set.Customers {
+		n.Customers = append(n.Customers, c.Name)
+	}
+	for _, g := range s.Groups {
+		n.Groups = append(n.Groups, g.Name)
+	}
+	return n
+}
+
 // Front is where the edge answers look-ups, and how.
 type Front struct {
 	front.Config
--- a/tablefile/store.go
+++ b/tablefile/store.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"cobaltpier/api"
@@ -39,6 +40,9 @@
 // Open opens a store, and makes it where there is none. Another process that has it is an error after a second.
 func Open(file string) (*Store, error) {
 	db, err := bbolt.Open(file, 0o600, &bbolt.Options{Timeout: time.Second})
+	if errors.Is(err, berrors.ErrTimeout) {
+		return nil, fmt.Errorf("tables: store %s: another process has it: %w", file, err)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("tables: store %s: %w", file, err)
 	}
--- a/tablefile/store_test.go
+++ b/tablefile/store_test.go
@@ -336,3 +336,16 @@
 		}
 	})
 }
+
+// A store that another process has is an error that says so, after a second.
+func TestTaken(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "tables")
+	s, err := Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	if _, err := Open(file); err == nil || !strings.Contains(err.Error(), "another process has it") {
+		t.Error(err)
+	}
+}
