--- a/enum/enum_test.go
+++ b/enum/enum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 
@@ -62,7 +63,11 @@
 		{"made to take all memory", []Rule{sip(1, 1, `!^((.{1000}){1000}){1000}$!sip:a!`)}, Result{}, ErrBad},
 		{"counts in counts", []Rule{sip(1, 1, `!^(((((.{9}){9}){9}){9}){9})$!sip:a!`)}, Result{}, ErrBad},
 		{"a bad one does not hide a good one", []Rule{sip(1, 1, `!^(.*$!sip:a!`), sip(1, 2, "!^.*$!sip:b!")}, Result{URI: "sip:b"}, nil},
-		{"too many", make([]Rule, MostRules+1), Result{}, ErrBad},
+		{"too many", slices.Repeat([]Rule{sip(1, 1, "!^.*$!sip:a@x!")}, MostRules+1), Result{}, ErrBad},
+		{"as many as may be", slices.Repeat([]Rule{sip(1, 1, "!^.*$!sip:a@x!")}, MostRules), Result{URI: "sip:a@x"}, nil},
+		{"the longest way to fit", []Rule{sip(1, 1, `!^\+1(4|41)!sip:\1@x!`)}, Result{URI: "sip:41@x"}, nil},
+		{"a domain too long", []Rule{{1, 1, "", "", "", strings.Repeat("a.", 130)}}, Result{}, ErrBad},
+		{"an expression too long", []Rule{sip(1, 1, "!^.*$!sip:"+strings.Repeat("a", 250)+"!")}, Result{}, ErrBad},
 	} {
 		got, err := Apply(n, c.rules, "sip")
 		if got != c.want || !errors.Is(err, c.err) {
--- a/number/number_test.go
+++ b/number/number_test.go
@@ -153,6 +153,8 @@
 		{"+1", thursday, 0, 0, "", "TG-2 +1"},
 		{"", thursday, 0, 0, "", `number "": no digits`},
 		{"+1-CALL-ME", thursday, 0, 0, "", `number "+1-CALL-ME": 'C' is no digit`},
+		{"+1418" + strings.Repeat("5", 36), sunday, 0, NotPorted, "", "no rule for this number"}, // 41 digits on its way
+		{"+1418" + strings.Repeat("5", 35), sunday, 0, NotPorted, "", "TG-2 +99418" + strings.Repeat("5", 35)},
 		{strings.Repeat("1", 41), thursday, 0, 0, "", "number: 41 digits are too many"},
 		{strings.Repeat("1", 40), thursday, 0, 0, "", "TG-2 +" + strings.Repeat("1", 40)},
 	} {
