A gateway on the platform: calls by its binary messages over TCP, the list by DNS

Need: the users put the gateway into service on their platform.

Change: cobalt-edge platform reads NODE_CONFIG. platform/message is the codec, platform the machine without I/O, platform/roster follows the list, platform/config reads the configuration, platform/serve drives it. The library's own dial takes the first four bytes of a 16-byte address and reached 0.0.0.0 (seen with ss and an errno log), so net.Dialer connects and the poller takes over.

--- a/benchwire/codec.go
+++ b/benchwire/codec.go
@@ -4,13 +4,13 @@
 
 import (
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"math"
 	"strconv"
 	"strings"
 
 	"cobaltpier/contact"
+	"cobaltpier/deployment"
 )
 
 // line is one line of the wire, read part by part. The first fault sticks.
@@ -105,17 +105,6 @@
 	"skipped": contact.Unsent,
 }
 
-// setters put a value of a load report in its place.
-var setters = map[string]func(*contact.Report, float64){
-	"free":      func(r *contact.Report, v float64) { r.Free = v },
-	"size":      func(r *contact.Report, v float64) { r.Agents = v },
-	"q":         func(r *contact.Report, v float64) { r.Queue = v },
-	"busy":      func(r *contact.Report, v float64) { r.Util = v },
-	"lat_ms":    func(r *contact.Report, v float64) { r.Wait = v },
-	"can_take":  func(r *contact.Report, v float64) { r.Rate = v },
-	"hold_back": func(r *contact.Report, v float64) { r.Holdback = v },
-}
-
 // report reads a load report over an older one; it tells whether a processor's figures came. Values that
 // are absent or -1 leave the older figure.
 func (l *line) report(fields []string, into *contact.Report) bool {
@@ -138,77 +127,9 @@
 			l.fault("telemetry", "numbers", s)
 			return false
 		}
-		if set := setters[f]; set != nil && v >= 0 {
-			set(into, v)
-			full = full || (f != "free" && f != "size")
+		if deployment.Figure(into, f, v) {
+			full = true
 		}
 	}
 	return full
 }
-
-// wireSettings are the keys of the settings that anybody reads; all others are passed over.
-type wireSettings struct {
-	Allowed struct {
-		Cancel, Peers, Probes, RetryAfter, MayDuplicate bool
-		MaxAttempts                                     int
-		MaxRetryAfter                                   float64
-	}
-	Balancers, Me int
-	Tick          float64
-	FamilyInfo    struct {
-		CallLength            []float64
-		ClearWait, Retransmit float64
-		SkilledPools          [][]int
-	}
-	Lanes []struct {
-		Name, Semantics                   string
-		Aim, HardLimit, LateWorth, Window float64
-		Worth                             *float64
-	}
-	Realms []struct{ Name string }
-	Rules  struct {
-		AnswerSlack, ColdShare, Fall, TipMultiple, WarmWithin float64
-	}
-	Stats struct {
-		Fields []string
-		How    string
-	}
-}
-
-// settings turns the wire's settings into the module's; the second result is the report's fields.
-func settings(text string, seed uint64) (*contact.Settings, []string, error) {
-	var w wireSettings
-	if err := json.Unmarshal([]byte(text), &w); err != nil {
-		return nil, nil, fmt.Errorf("params: %w", err)
-	}
-	s := &contact.Settings{
-		Gateways: w.Balancers, Me: w.Me, Seed: seed, Tick: w.Tick,
-		MaxRings: w.Allowed.MaxAttempts, MayProbe: w.Allowed.Probes, MayTell: w.Allowed.Peers,
-		MayCancel: w.Allowed.Cancel, MayWait: w.Allowed.RetryAfter, MaxWait: w.Allowed.MaxRetryAfter,
-		ByProbe: w.Stats.How == "on_probe", Retransmit: w.FamilyInfo.Retransmit,
-		Slack: w.Rules.AnswerSlack, ColdShare: w.Rules.ColdShare,
-		WarmWithin: w.Rules.WarmWithin, TipMultiple: w.Rules.TipMultiple, TipTime: w.Rules.Fall,
-		ClearWait: w.FamilyInfo.ClearWait,
-	}
-	for i, c := range w.Lanes {
-		k := &contact.Skill{Name: c.Name, Target: c.Aim, Patience: c.HardLimit, LateValue: c.LateWorth, Value: 1,
-			Repeat: c.Semantics == "pure" || c.Semantics == ""}
-		if c.Worth != nil {
-			k.Value = *c.Worth
-		}
-		if i < len(w.FamilyInfo.CallLength) {
-			k.Hold = w.FamilyInfo.CallLength[i]
-		}
-		if i < len(w.FamilyInfo.SkilledPools) {
-			k.Pools = map[int]bool{}
-			for _, n := range w.FamilyInfo.SkilledPools[i] {
-				k.Pools[n] = true
-			}
-		}
-		s.Skills = append(s.Skills, k)
-	}
-	for _, c := range w.Realms {
-		s.Customers = append(s.Customers, &contact.Customer{Name: c.Name})
-	}
-	return s, w.Stats.Fields, nil
-}
--- a/benchwire/host.go
+++ b/benchwire/host.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"cobaltpier/contact"
+	"cobaltpier/deployment"
 	"cobaltpier/host"
 )
 
@@ -206,9 +207,9 @@
 		l.fault("params", "a JSON object", "end of line")
 		return l.err
 	}
-	set, fields, err := settings(parts[3], seed)
+	set, fields, err := deployment.Decode([]byte(parts[3]), seed)
 	if err != nil {
-		return fmt.Errorf("line %d: create: %w", l.n, err)
+		return fmt.Errorf("line %d: create: params: %w", l.n, err)
 	}
 	in := &instance{name: name, out: h.out, fields: fields, pools: host.NewPools[int64](),
 		contacts: map[string]*host.Call{},
--- /dev/null
+++ b/deployment/deployment.go
@@ -0,0 +1,119 @@
+// Package deployment reads a deployment's settings as its operators hand them over, in JSON: the same object on the
+// bench's wire and in a gateway's configuration. It tells which figures the load reports have, and what they mean.
+package deployment
+
+import (
+	"encoding/json"
+
+	"cobaltpier/contact"
+)
+
+// setters put a value of a load report in its place.
+var setters = map[string]func(*contact.Report, float64){
+	"free":      func(r *contact.Report, v float64) { r.Free = v },
+	"size":      func(r *contact.Report, v float64) { r.Agents = v },
+	"q":         func(r *contact.Report, v float64) { r.Queue = v },
+	"busy":      func(r *contact.Report, v float64) { r.Util = v },
+	"lat_ms":    func(r *contact.Report, v float64) { r.Wait = v },
+	"can_take":  func(r *contact.Report, v float64) { r.Rate = v },
+	"hold_back": func(r *contact.Report, v float64) { r.Holdback = v },
+}
+
+// Figure puts a value of a load report, by its name in the settings, in its place; a negative one is not known. It tells
+// whether it was one of the processor's.
+func Figure(into *contact.Report, field string, v float64) bool {
+	set := setters[field]
+	if set == nil || !(v >= 0) {
+		return false
+	}
+	set(into, v)
+	return field != "free" && field != "size"
+}
+
+// object is the keys of the settings that anybody reads; all others are passed over.
+type object struct {
+	Allowed struct {
+		Cancel, Peers, Probes, RetryAfter, MayDuplicate bool
+		MaxAttempts                                     int
+		MaxRetryAfter                                   float64
+	}
+	Balancers, Me int
+	Tick          float64
+	FamilyInfo    struct {
+		CallLength            []float64
+		ClearWait, Retransmit float64
+		SkilledPools          [][]int
+	}
+	Lanes []struct {
+		Name, Semantics                   string
+		Aim, HardLimit, LateWorth, Window float64
+		Worth                             *float64
+	}
+	Realms []struct{ Name string }
+	Rules  struct {
+		AnswerSlack, ColdShare, Fall, TipMultiple, WarmWithin float64
+	}
+	Stats struct {
+		Fields []string
+		How    string
+	}
+}
+
+// Decode turns the object into the module's settings; the second result is the reports' fields.
+func Decode(text []byte, seed uint64) (*contact.Settings, []string, error) {
+	var w object
+	if err := json.Unmarshal(text, &w); err != nil {
+		return nil, nil, err
+	}
+	s := &contact.Settings{
+		Gateways: w.Balancers, Me: w.Me, Seed: seed, Tick: w.Tick,
+		MaxRings: w.Allowed.MaxAttempts, MayProbe: w.Allowed.Probes, MayTell: w.Allowed.Peers,
+		MayCancel: w.Allowed.Cancel, MayWait: w.Allowed.RetryAfter, MaxWait: w.Allowed.MaxRetryAfter,
+		ByProbe: w.Stats.How == "on_probe", Retransmit: w.FamilyInfo.Retransmit,
+		Slack: w.Rules.AnswerSlack, ColdShare: w.Rules.ColdShare,
+		WarmWithin: w.Rules.WarmWithin, TipMultiple: w.Rules.TipMultiple, TipTime: w.Rules.Fall,
+		ClearWait: w.FamilyInfo.ClearWait,
+	}
+	for i, c := range w.Lanes {
+		k := &contact.Skill{Name: c.Name, Target: c.Aim, Patience: c.HardLimit, LateValue: c.LateWorth, Value: 1,
+			Repeat: c.Semantics == "pure" || c.Semantics == ""}
+		if c.Worth != nil {
+			k.Value = *c.Worth
+		}
+		if i < len(w.FamilyInfo.CallLength) {
+			k.Hold = w.FamilyInfo.CallLength[i]
+		}
+		if i < len(w.FamilyInfo.SkilledPools) {
+			k.Pools = map[int]bool{}
+			for _, n := range w.FamilyInfo.SkilledPools[i] {
+				k.Pools[n] = true
+			}
+		}
+		s.Skills = append(s.Skills, k)
+	}
+	for _, c := range w.Realms {
+		s.Customers = append(s.Customers, &contact.Customer{Name: c.Name})
+	}
+	return s, w.Stats.Fields, nil
+}
+
+// Links is what the settings say of connections. Times are milliseconds.
+type Links struct {
+	ConnectTimeout float64 // one that is not up by then is refused
+	Idle           float64 // idle ones are closed after this
+	MostHeld       int     // open contacts of one gateway
+}
+
+// DecodeLinks reads what the object says of connections.
+func DecodeLinks(text []byte) (Links, error) {
+	var w struct {
+		Allowed struct {
+			ConnectTimeout, ConnIdle float64
+			MostHeld                 int
+		}
+	}
+	if err := json.Unmarshal(text, &w); err != nil {
+		return Links{}, err
+	}
+	return Links{ConnectTimeout: w.Allowed.ConnectTimeout, Idle: w.Allowed.ConnIdle, MostHeld: w.Allowed.MostHeld}, nil
+}
--- a/edge/analysis.go
+++ b/edge/analysis.go
@@ -45,7 +45,7 @@
 		return false
 	}
 	e.drawn++
-	a, o := e.table.Begin(number.Call{Dialled: user, Looked: p.Looked, Routing: p.Routing, Carrier: p.Carrier, At: e.cfg.Epoch.Add(time.Duration(e.now * float64(time.Millisecond))),
+	a, o := e.table.Begin(number.Call{Dialled: user, Looked: p.Looked, Routing: p.Routing, Carrier: p.Carrier, At: e.cfg.Epoch.Add(time.Duration(e.Now * float64(time.Millisecond))),
 		Draw: chance.Of(e.names.Seed, e.drawn)})
 	k.route.analysis, k.route.version = a, a.Table.Version
 	e.tables[a.Table]++
@@ -70,7 +70,7 @@
 // lookUp asks what the analysis wants to know, for no longer than a part of what is left of the caller's patience.
 func (k *held) lookUp() {
 	e := k.edge
-	within := min(k.route.within, e.cfg.Share*(k.Until-e.now))
+	within := min(k.route.within, e.cfg.Share*(k.Until-e.Now))
 	over := false
 	done := func(now float64, found number.Found) {
 		over = true
@@ -78,15 +78,15 @@
 		if k.Over {
 			return
 		}
-		e.now, e.sip.Now = now, now
+		e.Now, e.sip.Now = now, now
 		k.goOn(k.route.analysis.Answered(found))
 	}
 	if e.cfg.Look == nil || within <= 0 {
-		done(e.now, number.Found{Answer: number.Silent})
+		done(e.Now, number.Found{Answer: number.Silent})
 		return
 	}
 	e.Counts.Asked++
-	stop := e.cfg.Look.Ask(e.now, k.route.waits, within, done)
+	stop := e.cfg.Look.Ask(e.Now, k.route.waits, within, done)
 	if !over {
 		k.route.stop = stop
 	}
@@ -102,8 +102,8 @@
 	case o.Route == nil || !k.routed(o.Route):
 		e.Abandon(k.Contact)
 	default:
-		k.Home = e.pools.Home(k.HomeNumber)
-		k.offer()
+		k.Home = e.Pools.Home(k.HomeNumber)
+		k.Offer()
 	}
 }
 
@@ -115,15 +115,15 @@
 		return false
 	}
 	if r.Skill != "" {
-		s := e.skills[r.Skill]
+		s := e.Skills[r.Skill]
 		if s == nil {
 			return false
 		}
 		k.Skill = s
-		k.patience()
+		k.Patience()
 	}
 	if r.Customer != "" {
-		if k.Customer = e.payers[r.Customer]; k.Customer == nil {
+		if k.Customer = e.Payers[r.Customer]; k.Customer == nil {
 			return false
 		}
 	}
--- a/edge/analysis_test.go
+++ b/edge/analysis_test.go
@@ -10,6 +10,7 @@
 	"github.com/emiago/sipgo/sip"
 
 	"cobaltpier/contact"
+	"cobaltpier/control"
 	"cobaltpier/number"
 	"cobaltpier/signal"
 )
@@ -130,6 +131,18 @@
 	}
 }
 
+// Where look-ups may use no time nothing is asked.
+func TestNoShare(t *testing.T) {
+	r, b := numberRig(t)
+	r.e.cfg.Share = 0
+	home := -1
+	r.m.offered = func(_ float64, c *contact.Contact) { home = c.HomeNumber }
+	r.get(caller, callerSays("INVITE", "a1", ""))
+	if len(b.asked) != 0 || home != 0 {
+		t.Errorf("asked %v, offered with destination %d", b.asked, home)
+	}
+}
+
 // A caller that hangs up takes its question back; an answer that comes then, or after the contact's end, changes nothing.
 func TestAnswerTooLate(t *testing.T) {
 	r, b := numberRig(t)
@@ -157,10 +170,10 @@
 // old table is let go.
 func TestSwapInFlight(t *testing.T) {
 	r, b := numberRig(t)
-	r.e.cfg.Gate.Most = 5000
+	r.e.Gate.Most = 5000
 	var sent []string
 	r.m.offered = func(now float64, c *contact.Contact) {
-		sent = append(sent, c.Number+c.ID.(*held).route.params)
+		sent = append(sent, c.Number+c.ID.(*control.Held).Party.(*call).route.params)
 		r.m.h.Defer(c, 0)
 	}
 	for v := 1; v <= 4; v++ {
@@ -236,7 +249,7 @@
 // A flood that the intake turns away asks for nothing.
 func TestFloodAsksNothing(t *testing.T) {
 	r, b := numberRig(t)
-	r.e.cfg.Gate.Most = 10
+	r.e.Gate.Most = 10
 	for i := range 200 {
 		r.get(caller, callerSays("INVITE", fmt.Sprintf("f%d", i), ""))
 	}
--- a/edge/caller.go
+++ b/edge/caller.go
@@ -7,7 +7,6 @@
 	"github.com/emiago/sipgo/sip"
 
 	"cobaltpier/contact"
-	"cobaltpier/host"
 	"cobaltpier/signal"
 )
 
@@ -47,9 +46,9 @@
 		name = e.cfg.Default
 	}
 	user, params, _ := strings.Cut(req.Recipient.User, ";")
-	skill := e.skills[name]
+	skill := e.Skills[name]
 	switch {
-	case e.refusals.Known(e.now, key(req)):
+	case e.refusals.Known(e.Now, key(req)):
 		s.Refuse(e.busy(req))
 		return
 	case skill == nil:
@@ -62,22 +61,22 @@
 		s.Respond(signal.Response(req, 400, "Missing Contact", e.names.Next()))
 		return
 	}
-	c := &contact.Contact{Skill: skill, Customer: e.payers[req.From().Address.Host], Number: user, Came: e.now, HomeNumber: -1}
+	c := &contact.Contact{Skill: skill, Customer: e.Payers[req.From().Address.Host], Number: user, Came: e.Now, HomeNumber: -1}
 	if g := e.byName[param(params, "tgrp")]; g != nil {
 		c.HomeNumber = g.Pool
 	}
-	k := &call{held: &held{Call: host.Call{Contact: c}, edge: e, session: signal.Session(req), from: e.since(),
-		expires: signal.Wait(signal.Field(req, "Expires"))}, req: req, server: s, payer: req.From().Address.Host}
-	k.party, c.ID, s.User = k, k.held, k
-	k.patience()
+	k := &call{held: &held{Held: e.Hold(c, signal.Wait(signal.Field(req, "Expires"))), edge: e, session: signal.Session(req)}, req: req, server: s,
+		payer: req.From().Address.Host}
+	k.Party, k.refuser, s.User = k, k, k
+	k.Patience()
 	if k.session == "" {
 		k.session = e.session()
 	}
 	if e.table != nil && !k.analyse(user, params) {
 		return
 	}
-	c.Home = e.pools.Home(c.HomeNumber)
-	e.waiting = append(e.waiting, k.held)
+	c.Home = e.Pools.Home(c.HomeNumber)
+	e.Wait(k.Held)
 }
 
 // param is a parameter of a telephone number in a user part (RFC 3261 19.1.6, RFC 4904).
@@ -104,13 +103,14 @@
 	return signal.Response(req, 503, "Service Unavailable", "busy")
 }
 
-// turned implements party.
-func (k *call) turned() {
-	k.edge.refusals.Add(k.edge.now, key(k.req))
+// turned implements control.Party.
+func (k *call) Turned() {
+	k.letGo()
+	k.edge.refusals.Add(k.edge.Now, key(k.req))
 	k.server.Refuse(k.edge.busy(k.req))
 }
 
-// refuse implements party: of what was not taken nothing is kept.
+// refuse implements control.Party: of what was not taken nothing is kept.
 func (k *call) refuse(code int, why string) {
 	if k.tag == "" {
 		k.server.Respond(signal.Response(k.req, code, why, k.edge.names.Next()))
@@ -119,8 +119,8 @@
 	k.answer(signal.Response(k.req, code, why, k.tag))
 }
 
-// defers implements party.
-func (k *call) defers(wait float64) {
+// defers implements control.Party.
+func (k *call) Defers(wait float64) {
 	res := signal.Response(k.req, 503, "Service Unavailable", k.tag)
 	if wait > 0 && k.edge.cfg.Set.MayWait {
 		res.AppendHeader(sip.NewHeader(signal.RetryAfter, signal.Seconds(wait)))
@@ -128,21 +128,24 @@
 	k.answer(res)
 }
 
-// isOut implements party.
-func (k *call) isOut() bool { return k.trunk != nil }
+// isOut implements control.Party.
+func (k *call) IsOut() bool { return k.trunk != nil }
 
-// callOff implements party.
-func (k *call) callOff(r *contact.Ring) {
+// callOff implements control.Party.
+func (k *call) CallOff(r *contact.Ring) {
 	if k.trunk != nil && k.trunk.ring == r && !k.Stands {
 		k.trunk.cancel()
 	}
 }
 
-// begin implements party.
-func (k *call) begin() { k.tag = k.edge.names.Next() }
+// Begin implements control.Party: a number that has to be looked up is not ready.
+func (k *call) Begin() bool {
+	k.tag = k.edge.names.Next()
+	return k.route.waits == ""
+}
 
-// trying implements party.
-func (k *call) trying() {
+// trying implements control.Party.
+func (k *call) Trying() {
 	if !k.rang {
 		k.server.Respond(signal.Response(k.req, 100, "Trying", ""))
 	}
@@ -175,7 +178,7 @@
 	copyBody(from, res)
 	k.answer(res)
 	k.Stands = true
-	e.standing++
+	e.Standing(1)
 	e.Counts.Stood++
 	e.ends[k.tag] = &end{edge: e, call: k, callID: string(*k.req.CallID()), tag: k.tag}
 	k.server.Lost(func() { k.release(contact.Done, plainReason) }) // RFC 3261 13.3.1.4: no ACK ever came
@@ -183,7 +186,7 @@
 
 // CalledOff implements signal.User: the caller is gone before its answer.
 func (e *Edge) CalledOff(s *signal.Server, _ *sip.Request) {
-	e.now = e.sip.Now
+	e.Now = e.sip.Now
 	k, ok := s.User.(*call)
 	if !ok || k.Over || k.Stands {
 		return
@@ -196,8 +199,8 @@
 		return
 	}
 	k.answer(signal.Response(k.req, 487, "Request Terminated", k.tag))
-	if k.offered {
-		e.mod.Left(e.now, k.Contact)
+	if k.Offered {
+		e.Mod.Left(e.Now, k.Contact)
 	}
 }
 
@@ -233,7 +236,7 @@
 	}
 	e, l := k.edge, k.trunk
 	k.server.Acked() // a BYE may overtake the ACK: the 200 is not repeated any more
-	e.standing--
+	e.Standing(-1)
 	k.trunk = nil
 	if _, open := e.ends[k.tag]; open {
 		delete(e.ends, k.tag)
@@ -249,7 +252,7 @@
 	}
 	l.told = true
 	l.forget()
-	k.ended(l.ring, how, true)
+	k.Ended(l.ring, how, true)
 }
 
 // bye gives a BYE its Session-ID and reason.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -4,7 +4,8 @@
 // decides nothing that the module decides.
 //
 // A contact passes caller leg, intake, module, trunk leg; what comes back runs the other way. What the five rules ask
-// of the wire is kept at one place each: rule 1 in (*held).settle, rules 2, 3 and 5 in (*Edge).Ring.
+// of the wire is kept at one place each: rule 1 in (*control.Held).Settle, rules 2, 3 and 5 in
+// (*control.Control).Ring.
 package edge
 
 import (
@@ -16,8 +17,8 @@
 
 	"github.com/emiago/sipgo/sip"
 
-	"cobaltpier/clock"
 	"cobaltpier/contact"
+	"cobaltpier/control"
 	"cobaltpier/host"
 	"cobaltpier/intake"
 	"cobaltpier/number"
@@ -79,10 +80,7 @@
 }
 
 // Counts are what an edge has seen since its start.
-type Counts struct {
-	Taken, Turned, Stood, Deferred, Abandoned, Left, Rings, Overdue, Barred uint64
-	Asked, Unrouted, Named                                                  uint64 // of numbers: look-ups, refused by the table; enquiries answered with a pool
-}
+type Counts = control.Counts
 
 // Fate is the end of a contact, for logs.
 type Fate struct {
@@ -97,52 +95,28 @@
 
 // Edge is one gateway.
 type Edge struct {
-	Counts Counts
+	*control.Control
 	OnFate func(Fate) // may be nil
 
 	cfg      *Config
 	out      Out
 	names    signal.Names
-	timers   clock.Queue
 	sip      *signal.Layer
-	mod      host.Module
-	pools    *host.Pools[string]
 	addrs    map[*contact.Pool]netip.AddrPort
 	groups   map[int]*Group    // by pool
 	byName   map[string]*Group // by tgrp
-	skills   map[string]*contact.Skill
-	payers   map[string]*contact.Customer
-	ends     map[string]*end // dialogs by our tag
-	waiting  []*held         // came since the last tick
+	ends     map[string]*end   // dialogs by our tag
 	refusals intake.Refusals
-	held     int // contacts without a final answer
-	standing int
 	table    *number.Table
 	tables   map[*number.Table]int // contacts without a final answer that carry it
 	drawn    uint64
-	closing  bool
-	now      float64
-	looked   float64 // when the latest batch ended, 0: none yet
-}
-
-// beat is how often an edge wants to be woken even if nothing is due, ms: so it knows when it stood still.
-const beat = 100.0
-
-// since is the earliest time at which what came in this batch may have come: a process that was stopped finds what came
-// meanwhile at once, and a caller's patience ran all the time. It guards rule 1 against stalls of any cause. What comes
-// just at the end of a stall gets less time than its caller has.
-func (e *Edge) since() float64 {
-	if e.looked > 0 && e.now-e.looked > 2*beat {
-		return e.looked
-	}
-	return e.now
 }
 
 // New makes an edge; its module comes from mk.
 func New(cfg *Config, mk host.Maker, out Out) *Edge {
-	e := &Edge{cfg: cfg, out: out, pools: host.NewPools[string](), addrs: map[*contact.Pool]netip.AddrPort{},
-		groups: map[int]*Group{}, byName: map[string]*Group{}, skills: map[string]*contact.Skill{},
-		payers: map[string]*contact.Customer{}, ends: map[string]*end{}, table: cfg.Table, tables: map[*number.Table]int{}}
+	e := &Edge{Control: control.New(&control.Config{Set: cfg.Set, Margin: cfg.Margin, Gate: cfg.Gate, Off: cfg.Off}), cfg: cfg, out: out,
+		addrs: map[*contact.Pool]netip.AddrPort{}, groups: map[int]*Group{}, byName: map[string]*Group{}, ends: map[string]*end{},
+		table: cfg.Table, tables: map[*number.Table]int{}}
 	h := fnv.New64a()
 	h.Write([]byte(cfg.Name))
 	e.names.Seed = cfg.Set.Seed ^ h.Sum64()
@@ -150,46 +124,40 @@
 		g := &cfg.Groups[i]
 		e.groups[g.Pool], e.byName[g.Name] = g, g
 	}
-	for _, k := range cfg.Set.Skills {
-		e.skills[k.Name] = k
-	}
-	for _, c := range cfg.Set.Customers {
-		e.payers[c.Name] = c
-	}
 	e.refusals.Keep = 64 * cfg.Times.T1
-	e.sip = signal.NewLayer(cfg.Self, cfg.Times, &e.names, &e.timers, e, out.Send)
+	e.sip = signal.NewLayer(cfg.Self, cfg.Times, &e.names, &e.Timers, e, out.Send)
 	if cfg.Parse != nil {
 		e.sip.Parse = cfg.Parse
 	}
-	e.mod = mk(cfg.Set, moduleHost{e})
+	e.Mod = mk(cfg.Set, moduleHost{e})
 	return e
 }
 
 // Receive takes a datagram of the SIP socket. New contacts are offered to the module by the next Wake.
 func (e *Edge) Receive(now float64, from netip.AddrPort, data []byte) {
-	e.now = now
+	e.Now = now
 	e.sip.Receive(now, from, data)
 }
 
 // Peer takes another gateway's message.
 func (e *Edge) Peer(now float64, from int, data []byte) {
-	e.now, e.sip.Now = now, now
+	e.Now, e.sip.Now = now, now
 	if len(data) <= 256 && from >= 0 && from < e.cfg.Set.Gateways && from != e.cfg.Set.Me {
-		e.mod.Told(now, from, data)
+		e.Mod.Told(now, from, data)
 	}
 }
 
 // Listed takes a pool list, whole or of changes only. What it says of a pool counts from now on (rule 3): set-ups to a
 // pool that drains or is gone are not repeated any more.
 func (e *Edge) Listed(now float64, list []Member, whole bool) {
-	e.now, e.sip.Now = now, now
+	e.Now, e.sip.Now = now, now
 	entries := make([]host.Entry[string], len(list))
 	for i, m := range list {
 		entries[i] = host.Entry[string]{ID: m.ID, Number: m.Number, State: m.State, Since: m.Since}
 	}
-	changed := e.pools.Apply(entries, whole)
+	changed := e.Pools.Apply(entries, whole)
 	for _, m := range list {
-		p := e.pools.Pool(m.ID)
+		p := e.Pools.Pool(m.ID)
 		if _, known := e.addrs[p]; !known {
 			if g := e.groups[p.Number]; g != nil {
 				p.Report.Agents, p.Report.Free = float64(g.Size), float64(g.Size)
@@ -206,56 +174,31 @@
 			}
 		}
 	}
-	e.mod.Listed(now, changed)
+	e.Mod.Listed(now, changed)
 }
 
 // Wake ends a batch: timers that are due run, then what came is offered to the module.
 func (e *Edge) Wake(now float64) {
-	e.now, e.sip.Now = now, now
-	defer func() { e.looked = now }()
-	e.timers.Run(now)
-	if e.cfg.Look != nil {
-		e.cfg.Look.Wake(now)
-	}
-	if len(e.waiting) == 0 {
-		return
-	}
-	batch := e.waiting
-	e.waiting = nil
-	values := make([]float64, len(batch))
-	for i, k := range batch {
-		values[i] = k.Skill.Value
-	}
-	for i, ok := range e.cfg.Gate.Take(now, values, e.held) {
-		if k := batch[i]; !ok {
-			k.turn()
-		} else if !k.Over {
-			e.take(k)
+	e.sip.Now = now
+	e.Batch(now, func() {
+		if e.cfg.Look != nil {
+			e.cfg.Look.Wake(now)
 		}
-	}
+	})
 }
 
 // Next is when Wake is wanted, on the clock that was handed in.
 func (e *Edge) Next() float64 {
-	if len(e.waiting) > 0 {
-		return e.now
-	}
-	at := math.Min(e.timers.Next(), math.Max(e.looked, e.now)+beat)
+	at := e.Control.Next()
 	if e.cfg.Look != nil {
 		at = math.Min(at, e.cfg.Look.Next())
 	}
 	return at
 }
 
-// Close lets no new contact in; those held go on.
-func (e *Edge) Close() { e.closing = true }
-
-// Held is how many contacts have no final answer yet, and how many stand.
-func (e *Edge) Held() (waiting, standing int) { return e.held + len(e.waiting), e.standing }
-
 // Release ends all standing calls.
 func (e *Edge) Release(now float64) {
-	e.now, e.sip.Now = now, now
+	e.Now, e.sip.Now = now, now
 	var tags []string
 	for tag, d := range e.ends {
 		if d.leg == nil {
@@ -273,44 +216,9 @@
 // Open is how much the edge holds: dialogs, transactions and timers.
 func (e *Edge) Open() (dialogs, transactions, timers int) {
 	c, s := e.sip.Open()
-	return len(e.ends), c + s, e.timers.Len()
-}
-
-// Ring implements contact.Host: rules 2, 3 and 5 are the module's to keep, and whatever it asks, nothing that breaks
-// one of them passes here. What is barred comes back as never sent.
-func (e *Edge) Ring(c *contact.Contact, p *contact.Pool, limit float64) {
-	k := c.ID.(*held)
-	off := &e.cfg.Off
-	barred := !off[1] && (k.Over || e.now > c.Until) || !off[2] && k.isOut() ||
-		!off[3] && p.State != contact.Ready || !off[5] && e.now < k.clear
-	r := k.Ring(p, e.now)
-	e.Counts.Rings++
-	g := e.groups[p.Number]
-	if barred {
-		e.Counts.Barred++
-	}
-	if barred || g == nil || g.out >= g.Size {
-		e.timers.Set(e.now, func() { k.ended(r, contact.Unsent, false) })
-		return
-	}
-	k.dial(r, g, math.Min(limit, c.Until-e.now))
-}
-
-// Defer implements contact.Host.
-func (e *Edge) Defer(c *contact.Contact, wait float64) {
-	e.Counts.Deferred++
-	c.ID.(*held).defers(wait)
+	return len(e.ends), c + s, e.Timers.Len()
 }
 
-// Abandon implements contact.Host.
-func (e *Edge) Abandon(c *contact.Contact) {
-	e.Counts.Abandoned++
-	c.ID.(*held).refuse(500, "Server Internal Error")
-}
-
-// Cancel implements contact.Host. The ring's end comes when the switch has said how it ended: until then it is out.
-func (e *Edge) Cancel(r *contact.Ring) { r.Contact.ID.(*held).callOff(r) }
-
 // Probe implements contact.Host: OPTIONS (RFC 3261 11).
 func (e *Edge) Probe(p *contact.Pool) {
 	to := e.addrs[p]
@@ -319,7 +227,7 @@
 		&sip.ToHeader{Address: req.Recipient}, e.names.Next()+"@"+e.cfg.Name, 1)
 	e.sip.Ask(req, to, oc, func(res *sip.Response) {
 		full := res != nil && e.report(p, res)
-		e.mod.Reported(e.now, p, res != nil && res.StatusCode < 300, full)
+		e.Mod.Reported(e.Now, p, res != nil && res.StatusCode < 300, full)
 	})
 }
 
@@ -331,13 +239,12 @@
 
 // Wake implements contact.Host.
 func (h moduleHost) Wake(at float64, c *contact.Contact) {
-	e := h.Edge
-	e.timers.Set(at, func() { e.mod.Woken(e.now, c) })
+	h.Control.Wake(at, c)
 }
 
 // Asked implements signal.User.
 func (e *Edge) Asked(s *signal.Server, req *sip.Request) {
-	e.now = e.sip.Now
+	e.Now = e.sip.Now
 	tag := signal.Tag(req.To().Params)
 	d := e.ends[tag]
 	if d != nil && d.callID != string(*req.CallID()) {
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -455,7 +455,7 @@
 // What the intake turns away gets one answer, also when its INVITE is repeated after room has come.
 func TestTurnedAwayStaysSo(t *testing.T) {
 	r := newRig(t)
-	r.e.cfg.Gate.Most = 1
+	r.e.Gate.Most = 1
 	r.get(caller, callerSays("INVITE", "1a", ""))
 	inv := r.sent(switchA, "INVITE")
 	r.get(caller, callerSays("INVITE", "2a", ""))
--- a/edge/enquiry.go
+++ b/edge/enquiry.go
@@ -4,7 +4,6 @@
 	"net/netip"
 
 	"cobaltpier/contact"
-	"cobaltpier/host"
 )
 
 // Named is the answer to an enquiry: which pool to call, or why none is named.
@@ -31,21 +30,21 @@
 // within patience ms; what the module decides counts for drains and cold budgets as a ring does. stop takes the question
 // back.
 func (e *Edge) Enquire(now float64, number, skill string, patience float64, done func(now float64, n Named)) (stop func()) {
-	e.now, e.sip.Now = now, now
-	k := e.skills[skill]
+	e.Now, e.sip.Now = now, now
+	k := e.Skills[skill]
 	if k == nil {
 		done(now, Named{Code: 404, Why: "no such skill"})
 		return func() {}
 	}
 	c := &contact.Contact{Skill: k, Number: number, Came: now, HomeNumber: -1}
-	q := &enquiry{held: &held{Call: host.Call{Contact: c}, edge: e, session: e.session(), from: e.since(), expires: patience}, done: done}
-	q.party, c.ID = q, q.held
-	q.patience()
+	q := &enquiry{held: &held{Held: e.Hold(c, patience), edge: e, session: e.session()}, done: done}
+	q.Party, q.refuser = q, q
+	q.Patience()
 	if e.table != nil && !q.analyse(number, "") {
 		return func() {}
 	}
-	c.Home = e.pools.Home(c.HomeNumber)
-	e.waiting = append(e.waiting, q.held)
+	c.Home = e.Pools.Home(c.HomeNumber)
+	e.Wait(q.Held)
 	return q.stop
 }
 
@@ -53,67 +52,72 @@
 func (q *enquiry) stop() {
 	switch {
 	case q.Over:
-	case !q.taken:
+	case !q.Taken:
 		q.Over = true
 		q.letGo()
 	default:
 		q.settle(487)
-		if q.offered {
-			q.edge.mod.Left(q.edge.now, q.Contact)
+		if q.Offered {
+			q.edge.Mod.Left(q.edge.Now, q.Contact)
 		}
 	}
 }
 
-// turned implements party.
-func (q *enquiry) turned() { q.done(q.edge.now, Named{Code: 503, Why: "busy"}) }
+// turned implements control.Party.
+func (q *enquiry) Turned() {
+	q.letGo()
+	q.done(q.edge.Now, Named{Code: 503, Why: "busy"})
+}
 
-// begin implements party.
-func (*enquiry) begin() {}
+// Begin implements control.Party.
+func (q *enquiry) Begin() bool { return q.route.waits == "" }
 
-// refuse implements party.
+// refuse implements control.Party.
 func (q *enquiry) refuse(code int, why string) {
-	if !q.taken {
+	if !q.Taken {
 		q.Over = true
 	} else if !q.settle(code) {
 		return
 	}
-	q.done(q.edge.now, Named{Code: code, Why: why})
+	q.done(q.edge.Now, Named{Code: code, Why: why})
 }
 
-// defers implements party.
-func (q *enquiry) defers(wait float64) {
+// defers implements control.Party.
+func (q *enquiry) Defers(wait float64) {
 	if !q.settle(503) {
 		return
 	}
 	if !q.edge.cfg.Set.MayWait {
 		wait = 0
 	}
-	q.done(q.edge.now, Named{Code: 503, Why: "deferred", Wait: wait})
+	q.done(q.edge.Now, Named{Code: 503, Why: "deferred", Wait: wait})
 }
 
-// isOut implements party.
-func (q *enquiry) isOut() bool { return q.out != nil }
+// isOut implements control.Party.
+func (q *enquiry) IsOut() bool { return q.out != nil }
 
-// dial implements party: the answer is the ring. Whoever asked calls the pool itself, so it is over for us; the module
+// Dial implements control.Party: the answer is the ring. Whoever asked calls the pool itself, so it is over for us; the module
 // counts it as one that was sent and taken.
-func (q *enquiry) dial(r *contact.Ring, g *Group, _ float64) {
-	if !q.settle(200) {
-		return
-	}
+func (q *enquiry) Dial(r *contact.Ring, _ float64) bool {
 	e := q.edge
+	g := e.groups[r.Pool.Number]
+	if g == nil || g.out >= g.Size || !q.settle(200) {
+		return false
+	}
 	q.Over, q.out = true, r
 	e.Counts.Named++
 	p := r.Pool
-	e.timers.Set(e.now, func() {
+	e.Timers.Set(e.Now, func() {
 		q.out = nil
-		q.ended(r, contact.Done, true)
+		q.Ended(r, contact.Done, true)
 	})
-	q.done(e.now, Named{Code: 200, Addr: e.addrs[p], Group: g.Name, Number: q.Number, Params: q.route.params,
+	q.done(e.Now, Named{Code: 200, Addr: e.addrs[p], Group: g.Name, Number: q.Number, Params: q.route.params,
 		Still: func() bool { return p.State == contact.Ready }})
+	return true
 }
 
-// callOff implements party: an answer that was given can't be taken back.
-func (*enquiry) callOff(*contact.Ring) {}
+// callOff implements control.Party: an answer that was given can't be taken back.
+func (*enquiry) CallOff(*contact.Ring) {}
 
-// trying implements party.
-func (*enquiry) trying() {}
+// trying implements control.Party.
+func (*enquiry) Trying() {}
--- a/edge/enquiry_test.go
+++ b/edge/enquiry_test.go
@@ -89,7 +89,7 @@
 // A flood of enquiries passes the same intake as calls.
 func TestEnquiryFlood(t *testing.T) {
 	r := newRig(t)
-	r.e.cfg.Gate.Most = 10
+	r.e.Gate.Most = 10
 	r.m.offered = func(float64, *contact.Contact) {}
 	n := map[string]int{}
 	for range 100 {
--- /dev/null
+++ b/edge/held.go
@@ -0,0 +1,37 @@
+package edge
+
+import "cobaltpier/control"
+
+// held is a contact as the edge holds it: what the call control has, and what became of its number.
+type held struct {
+	*control.Held
+	refuser
+	edge    *Edge
+	session string
+	route   routing
+}
+
+// refuser is a party that takes answers which are none of the module's.
+type refuser interface {
+	// refuse sends a final answer: code and reason as of SIP.
+	refuse(code int, why string)
+}
+
+// settle notes a final answer, by its code, and lets go of the number's table; false: it has one already.
+func (k *held) settle(code int) bool {
+	if !k.Settle(code >= 300) {
+		return false
+	}
+	k.letGo()
+	if e := k.edge; e.OnFate != nil {
+		e.OnFate(Fate{Session: k.session, Skill: k.Skill.Name, Answer: code, Rings: k.Contact.Rings, Took: e.Now - k.Came,
+			Table: k.route.version, Route: k.route.name})
+	}
+	return true
+}
+
+// Abandons implements control.Party.
+func (k *held) Abandons() { k.refuse(500, "Server Internal Error") }
+
+// Prepare looks a contact's number up before the module gets it.
+func (k *held) Prepare() { k.lookUp() }
--- a/edge/trunk.go
+++ b/edge/trunk.go
@@ -31,9 +31,14 @@
 	freed  bool // its circuit is free
 }
 
-// dial sends a set-up over a trunk group and gives up after limit ms.
-func (k *call) dial(r *contact.Ring, g *Group, limit float64) {
+// Dial implements control.Party: it sends a set-up over a trunk group and gives up after limit ms. A group without a free
+// circuit takes none.
+func (k *call) Dial(r *contact.Ring, limit float64) bool {
 	e := k.edge
+	g := e.groups[r.Pool.Number]
+	if g == nil || g.out >= g.Size {
+		return false
+	}
 	to := e.addrs[r.Pool]
 	l := &leg{call: k, ring: r, group: g, to: to, wanted: true}
 	tag, id := e.names.Next(), e.names.Next()+"@"+e.cfg.Name
@@ -51,7 +56,8 @@
 	l.req.AppendHeader(sip.NewHeader(signal.Service, servicePrefix+k.Skill.Name))
 	copyBody(k.req, l.req)
 	l.tx = e.sip.Ask(l.req, to, oc, l.heard)
-	l.limit = e.timers.Set(e.now+limit, l.late)
+	l.limit = e.Timers.Set(e.Now+limit, l.late)
+	return true
 }
 
 // late: no answer in time. The module hears at once, for the caller's answer is due; the switch hears when it may.
@@ -76,7 +82,7 @@
 func (l *leg) heard(res *sip.Response) {
 	k := l.call
 	e := k.edge
-	e.now = e.sip.Now
+	e.Now = e.sip.Now
 	if res == nil {
 		if l.wanted || k.Over {
 			l.tell(contact.TimedOut)
@@ -91,7 +97,7 @@
 	switch {
 	case code < 200:
 		if full {
-			e.mod.Reported(e.now, l.ring.Pool, true, true)
+			e.Mod.Reported(e.Now, l.ring.Pool, true, true)
 		}
 		if !l.wanted {
 			l.tx.Cancel()
@@ -108,7 +114,7 @@
 		l.remote = res
 		l.ack = l.acknowledge(res)
 		if full {
-			e.mod.Reported(e.now, l.ring.Pool, true, true)
+			e.Mod.Reported(e.Now, l.ring.Pool, true, true)
 		}
 		if !l.wanted || l.told || k.Over || k.Stands { // it crossed our giving up: nobody is there for it
 			l.bye(plainReason)
@@ -116,11 +122,11 @@
 			l.forget()
 			return
 		}
-		e.timers.Stop(l.limit)
+		e.Timers.Stop(l.limit)
 		k.trunk = l
-		l.ring.Cost = e.now - l.ring.Sent
+		l.ring.Cost = e.Now - l.ring.Sent
 		k.stands(res)
-		e.mod.Stood(e.now, l.ring)
+		e.Mod.Stood(e.Now, l.ring)
 	default:
 		l.ring.Wait = 0
 		how := contact.Failed
@@ -149,11 +155,11 @@
 	}
 	l.told = true
 	k := l.call
-	k.edge.timers.Stop(l.limit)
+	k.edge.Timers.Stop(l.limit)
 	if k.trunk == l {
 		k.trunk = nil
 	}
-	k.ended(l.ring, how, k.Over)
+	k.Ended(l.ring, how, k.Over)
 }
 
 // forget lets go of the leg's dialog and circuit.
@@ -163,7 +169,7 @@
 	if l.remote != nil && l.told {
 		l.tx.Forget() // a repeat of the 2xx finds the dialog released
 	}
-	e.timers.Stop(l.limit)
+	e.Timers.Stop(l.limit)
 	if !l.freed {
 		l.freed = true
 		l.group.out--
@@ -208,7 +214,7 @@
 // before this one, or one whose dialog was released since. It is acknowledged and released, so that no line stays
 // taken; only where the list has a switch.
 func (e *Edge) Stray(res *sip.Response, from netip.AddrPort) {
-	e.now = e.sip.Now
+	e.Now = e.sip.Now
 	known := false
 	for _, a := range e.addrs {
 		known = known || a == from
--- a/edgecmd/edgecmd.go
+++ b/edgecmd/edgecmd.go
@@ -36,7 +36,7 @@
 
 Signals: SIGTERM or SIGINT drains (no new contact, all held ones answered, status 0); a second one ends it at once
 (status 1).`, SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(run(), check(), numbercmd.New())
+	root.AddCommand(run(), check(), onPlatform(), numbercmd.New())
 	return root
 }
 
--- /dev/null
+++ b/edgecmd/platform.go
@@ -0,0 +1,72 @@
+package edgecmd
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+	"github.com/spf13/cobra"
+
+	"cobaltpier/brain"
+	"cobaltpier/contact"
+	"cobaltpier/host"
+	"cobaltpier/platform/config"
+	"cobaltpier/platform/serve"
+)
+
+// configVar names the file that the platform hands a gateway.
+const configVar = "NODE_CONFIG"
+
+func onPlatform() *cobra.Command {
+	var level string
+	c := &cobra.Command{Use: "platform", Short: "Run a gateway on the platform, by the file that " + configVar + " names", Args: cobra.NoArgs,
+		Long: `Runs a gateway that speaks the platform's protocol, on the one address that its configuration names, within the
+limits that stand there. Nothing else is opened: no SIP, no ENUM, no gRPC.
+
+Signals: SIGHUP reads the configuration again and follows the name server that it names; SIGTERM takes contacts for a
+while longer, answers all that is held, and ends.`,
+		Example: "  NODE_CONFIG=/run/balancer/config.json cobalt-edge platform",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			file := os.Getenv(configVar)
+			if file == "" {
+				return errors.New(configVar + ": want the name of the configuration's file, got none")
+			}
+			cfg, err := config.Load(file)
+			if err != nil {
+				return err
+			}
+			l, err := zerolog.ParseLevel(level)
+			if err != nil {
+				return fmt.Errorf("log-level: want debug, info, warn or error, got %q", level)
+			}
+			runtime.GOMAXPROCS(1)
+			if n := serve.Limit(cfg.Limits); n > 0 {
+				debug.SetMemoryLimit(n)
+			}
+			d := diode.NewWriter(open{cmd.ErrOrStderr()}, 256, 10*time.Millisecond, nil)
+			defer d.Close()
+			log := zerolog.New(d).Level(l).With().Timestamp().Str("gateway", cfg.Name).Logger()
+			signals, told := make(chan os.Signal, 8), make(chan serve.Signal, 8)
+			signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT)
+			defer signal.Stop(signals)
+			go func() {
+				for s := range signals {
+					if s == syscall.SIGHUP {
+						told <- serve.Reload
+					} else {
+						told <- serve.Leave
+					}
+				}
+			}()
+			return serve.Run(cmd.Context(), file, cfg, func(s *contact.Settings, h contact.Host) host.Module { return brain.New(s, h) }, log, told)
+		}}
+	c.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	return c
+}
--- a/host/host.go
+++ b/host/host.go
@@ -93,6 +93,22 @@
 	return append(changed, gone...)
 }
 
+// Forget lets go of a pool that is gone: ids are ever new, and none comes back.
+func (ps *Pools[ID]) Forget(p *contact.Pool) {
+	if p.State != contact.Gone {
+		return
+	}
+	id, ok := ps.ids[p]
+	if !ok {
+		return
+	}
+	delete(ps.ids, p)
+	delete(ps.byID, id)
+	if ps.home[p.Number] == p {
+		delete(ps.home, p.Number)
+	}
+}
+
 // Pool is the pool of an id, nil where the list never named it.
 func (ps *Pools[ID]) Pool(id ID) *contact.Pool { return ps.byID[id] }
 
--- /dev/null
+++ b/intake/links.go
@@ -0,0 +1,68 @@
+package intake
+
+// Figures of connections, ms.
+const (
+	proveWithin = 2000.0  // a connection on which no whole message came by then is closed
+	quietFor    = 12000.0 // as is one on which nothing is open and nothing came for so long
+	youngest    = 50.0    // under pressure a connection is not judged by its silence before this
+)
+
+// Link is what a gateway knows of a caller's connection.
+type Link struct {
+	Opened   float64 // when it came
+	Used     float64 // when its latest whole message came
+	Proven   bool    // one came
+	Partial  bool    // one has begun that is not whole
+	Open     int     // set-ups without an answer
+	Standing int     // calls whose release would go there
+}
+
+// Spent tells whether a connection is to be closed by itself: it never said anything, stopped in the middle of a
+// message, or has had nothing to carry for long. It guards descriptors and memory against callers that connect and say
+// nothing, however they came to it.
+func (l *Link) Spent(now float64) bool {
+	switch {
+	case l.Open > 0:
+		return false
+	case !l.Proven:
+		return now-l.Opened > proveWithin
+	case l.Partial:
+		return now-l.Used > proveWithin
+	}
+	return l.Standing == 0 && now-l.Used > quietFor
+}
+
+// Evict names the connection to be closed when too many are open: one that has said nothing, the oldest first; else one
+// that carries nothing, the longest unused first; -1: none, the newcomer goes.
+func Evict(now float64, links []Link) int {
+	worst := -1
+	better := func(a, b *Link) bool {
+		if a.Proven != b.Proven {
+			return !a.Proven
+		}
+		if a.Proven && (a.Standing > 0) != (b.Standing > 0) {
+			return a.Standing == 0
+		}
+		return a.Used < b.Used
+	}
+	for i := range links {
+		l := &links[i]
+		if l.Open > 0 || !l.Proven && now-l.Opened < youngest {
+			continue
+		}
+		if worst < 0 || better(l, &links[worst]) {
+			worst = i
+		}
+	}
+	return worst
+}
+
+// Lines is how many connections a gateway keeps to each of so many switches: no more than a switch tells its state on,
+// and all together no more than a part of the descriptors.
+func Lines(sockets, switches, told int) int {
+	return max(1, min(told, sockets/4/max(1, switches)))
+}
+
+// Callers is how many connections of callers are held at once, of so many descriptors: they need a third, the rest of
+// this room is for those that are about to be closed.
+func Callers(sockets int) int { return sockets * 9 / 20 }
