--- a/edgecmd/platform.go
+++ b/edgecmd/platform.go
@@ -44,13 +44,17 @@
 			}
 			l, err := zerolog.ParseLevel(level)
 			if err != nil {
-				return fmt.Errorf("log-level: want debug, info, warn or error, got %q", level)
+				return fmt.Errorf("log-level: want trace, debug, info, warn or error, got %q", level)
 			}
 			runtime.GOMAXPROCS(1)
 			if n := serve.Limit(cfg.Limits); n > 0 {
 				debug.SetMemoryLimit(n)
 			}
-			d := diode.NewWriter(open{cmd.ErrOrStderr()}, 256, 10*time.Millisecond, nil)
+			lines := 256 // that may wait for a slow reader of the log; more are lost
+			if l <= zerolog.DebugLevel {
+				lines = 1 << 16
+			}
+			d := diode.NewWriter(open{cmd.ErrOrStderr()}, lines, 10*time.Millisecond, nil)
 			defer d.Close()
 			log := zerolog.New(d).Level(l).With().Timestamp().Str("gateway", cfg.Name).Logger()
 			signals, told := make(chan os.Signal, 8), make(chan serve.Signal, 8)
@@ -67,6 +71,6 @@
 			}()
 			return serve.Run(cmd.Context(), file, cfg, func(s *contact.Settings, h contact.Host) host.Module { return brain.New(s, h) }, log, told)
 		}}
-	c.Flags().StringVar(&level, "log-level", "info", "debug, info, warn or error")
+	c.Flags().StringVar(&level, "log-level", "info", "trace (each message), debug, info, warn or error")
 	return c
 }
