--- a/intake/links.go
+++ b/intake/links.go
@@ -4,7 +4,6 @@
 const (
 	proveWithin = 2000.0  // a connection on which no whole message came by then is closed
 	quietFor    = 12000.0 // as is one on which nothing is open and nothing came for so long
-	youngest    = 50.0    // under pressure a connection is not judged by its silence before this
 )
 
 // Link is what a gateway knows of a caller's connection.
@@ -32,9 +31,9 @@
 	return l.Standing == 0 && now-l.Used > quietFor
 }
 
-// Evict names the connection to be closed when too many are open: one that has said nothing, the oldest first; else one
-// that carries nothing, the longest unused first; -1: none, the newcomer goes.
-func Evict(now float64, links []Link) int {
+// Evict names the connection to be closed when too many are open: one that has said nothing, the oldest first, for it has
+// had the most time to speak; else one that carries nothing, the longest unused first; -1: none, the newcomer goes.
+func Evict(links []Link) int {
 	worst := -1
 	better := func(a, b *Link) bool {
 		if a.Proven != b.Proven {
@@ -47,7 +46,7 @@
 	}
 	for i := range links {
 		l := &links[i]
-		if l.Open > 0 || !l.Proven && now-l.Opened < youngest {
+		if l.Open > 0 {
 			continue
 		}
 		if worst < 0 || better(l, &links[worst]) {
