A destination that fails most set-ups is passed by; tickets fall with a pool's sound share

Checked: a trace of all messages shows that one switch of two sent all 3,702 failures (cause 47, no note) beside 1,312 ends of calls; the lines were whole (no reset, nothing unread), the other switch failed none. The module takes a failure for a sign of life (brain.go, ringUp) and sends the destination's contacts there again, for there is no wait (route). Change: sound share of a pool in tickets; a destination under 0.7 of the best is passed by. Compared with the best, since callers at fault make all fail alike. A few failures may be chance. Test: TestFailingPool.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -49,6 +49,8 @@
 	overtaken  = 0.5     // of the wait aimed at: a set-up sent so long before one that stands is lost
 	lossy      = 0.5     // lost set-ups lately: with more a lone set-up under way may be lost too
 	little     = 0.5     // of the mean worth: a contact of less
+	soundFrom  = 3.0     // so many set-ups failed lately may be chance
+	soundAs    = 0.7     // of the best sound share: a destination that has less is passed by
 	spareRoom  = 0.4     // takes only a pool with a wait under this part of the one aimed at
 	comeBack   = 0.15    // of the answer target: a deferred caller who can still be in time is asked back then
 	engagedFor = 2000.0  // a number with no line free is left alone so long
@@ -122,6 +124,8 @@
 	out     []*contact.Ring // set-ups under way, the oldest first
 	sent    sum             // set-ups sent lately
 	lost    sum             // set-ups found lost lately
+	done    sum             // set-ups that stood or failed lately
+	failed  sum             // and those of them that failed, through no engaged number
 	pace    float64         // set-ups a millisecond that it gets from here; +Inf: all
 	knee    float64         // the pace when the latest press began
 	pressed bool            // its wait is longer than aimed at
@@ -600,7 +604,7 @@
 // route chooses the destination while it has room, else a pool by lottery.
 func (b *Brain) route(c *contact.Contact, to **contact.Pool) verdict {
 	h := c.Home
-	if h != nil && b.room(c, h) {
+	if h != nil && b.room(c, h) && b.sound(h) >= soundAs*b.soundest(c) {
 		*to = h
 		return pass
 	}
@@ -623,12 +627,31 @@
 	return pass
 }
 
-// tickets is the document's lottery: total capacity times the square of the relative capacity.
+// sound is the share of the set-ups a pool took up lately that it did not fail. It guards against pools that
+// answer soon and fail most of what they take: what makes nobody wait draws everything.
+func (b *Brain) sound(p *contact.Pool) float64 {
+	n := note(p)
+	return 1 - n.failed.read(b.now)/(soundFrom+n.done.read(b.now))
+}
+
+// soundest is the best sound share of the pools that have room: where all fail alike, no pool is at fault.
+func (b *Brain) soundest(c *contact.Contact) float64 {
+	best := 0.0
+	for _, p := range b.pools {
+		if s := b.sound(p); s > best && b.room(c, p) {
+			best = s
+		}
+	}
+	return best
+}
+
+// tickets is the document's lottery: total capacity times the square of the relative capacity, of which a
+// pool that fails set-ups has its sound share only.
 func (b *Brain) tickets(c *contact.Contact, p *contact.Pool) float64 {
 	if !b.room(c, p) {
 		return 0
 	}
-	f := b.free(p)
+	f := b.free(p) * b.sound(p)
 	return b.size(p) * f * f
 }
 
@@ -676,6 +699,12 @@
 // routeUp learns a pool's state from what a ring brought.
 func (b *Brain) routeUp(r *contact.Ring) {
 	n := note(r.Pool)
+	if stood := r.Contact.Out == r; stood || r.End == contact.Failed && !r.Engaged {
+		n.done.add(b.now, 1)
+		if !stood {
+			n.failed.add(b.now, 1)
+		}
+	}
 	switch {
 	case r.Contact.Out == r:
 		b.hear(n)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -56,6 +56,56 @@
 	}
 }
 
+// A destination that fails most set-ups at once is passed by while others do not, still tried, and comes back; where all
+// fail alike, or numbers are engaged, it keeps its contacts.
+func TestFailingPool(t *testing.T) {
+	for _, c := range []struct {
+		what        string
+		fails       [2]float64
+		engaged     bool
+		least, most int // of 400 first rings to the destination
+	}{
+		{"sound", [2]float64{0, 0}, false, 400, 400},
+		{"it fails", [2]float64{0.8, 0}, false, 5, 60},
+		{"both fail", [2]float64{0.8, 0.8}, false, 250, 400},
+		{"engaged", [2]float64{0.8, 0}, true, 400, 400},
+	} {
+		h, ps := setup(2)
+		for _, p := range ps {
+			p.Report.Agents, p.Report.Free = 1000, 800
+		}
+		play := func(n int, fails [2]float64) (home int) {
+			for i := 0; i < n; i++ {
+				h.pass(20)
+				k := h.offer(ps[0])
+				for first := true; k.Out != nil && !k.Over; first = false {
+					r, at := k.Out, 0
+					if r.Pool == ps[1] {
+						at = 1
+					} else if first {
+						home++
+					}
+					if h.b.chance() >= fails[at] {
+						h.stand(k, 20)
+						break
+					}
+					r.Engaged = c.engaged
+					h.end(k, contact.Failed)
+				}
+			}
+			return
+		}
+		play(100, c.fails)
+		if got := play(400, c.fails); got < c.least || got > c.most {
+			t.Errorf("%s: %d of 400 went to the destination first, want %d to %d", c.what, got, c.least, c.most)
+		}
+		play(1000, [2]float64{})
+		if got := play(400, [2]float64{}); got < 390 {
+			t.Errorf("%s, and well again: %d of 400 went to the destination", c.what, got)
+		}
+	}
+}
+
 // With no pool at all a contact gets its answer within its patience, and at once when it can't be served.
 func TestNoPools(t *testing.T) {
 	h, _ := setup(0)
