--- a/intake/links.go
+++ b/intake/links.go
@@ -65,3 +65,31 @@
 // Callers is how many connections of callers are held at once, of so many descriptors: they need a third, the rest of
 // this room is for those that are about to be closed.
 func Callers(sockets int) int { return sockets * 9 / 20 }
+
+// Life is what a gateway makes of a switch's silence.
+type Life int
+
+// The verdicts.
+const (
+	Lives Life = iota
+	Doubt      // it is to be tried by a new line, on which one that lives speaks at once
+	Died       // it takes no new line either
+)
+
+const (
+	quietAfter = 1500.0 // ms without a word while calls are there
+	deadAfter  = 4000.0 // ms
+	deadTries  = 2      // tries to connect that came to nothing since it was last heard
+)
+
+// Silence judges a switch with calls that has said nothing for so many ms. It guards against machines that vanish: their
+// connections stay open, and nothing ever says that their calls are over.
+func Silence(ms float64, failed int) Life {
+	switch {
+	case ms > deadAfter && failed >= deadTries:
+		return Died
+	case ms > quietAfter:
+		return Doubt
+	}
+	return Lives
+}
--- a/intake/links_test.go
+++ b/intake/links_test.go
@@ -56,3 +56,16 @@
 		t.Errorf("%d callers' connections of 256 descriptors", n)
 	}
 }
+
+// Silence alone proves nothing, nor does a try that failed: both together do.
+func TestSilence(t *testing.T) {
+	for _, c := range []struct {
+		ms     float64
+		failed int
+		want   Life
+	}{{1500, 5, Lives}, {1501, 0, Doubt}, {4000, 5, Doubt}, {60000, 1, Doubt}, {4001, 2, Died}} {
+		if got := Silence(c.ms, c.failed); got != c.want {
+			t.Errorf("%v ms, %d failed: %v, want %v", c.ms, c.failed, got, c.want)
+		}
+	}
+}
