A stream is told of once the poller has it: a line that came up could end the gateway

Seen: Streams.Dial told Connected before engine.AddConn; nbio's Conn.write reads c.p, which AddConn sets. A handler that writes in that instant, as the loop does when a set-up waits for the line, ends the process with a nil dereference (reactor/stream.go, Dial; nbio conn_unix.go overflow). The window is one preemption wide; the test forces it.

Change: an accept loop of our own, one place (adopt) that hands a connection to the poller under a lock against Shut, and tells of it after that and before anything else of it. EndAccept and EndWrite are there for an orderly end.

Tests: TestUsedWhenTold panics and TestShutWhenTold does not end with the code before; TestStarved, TestEndAccept, TestEndWrite.

--- a/reactor/stream.go
+++ b/reactor/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -33,23 +34,36 @@
 	conn   atomic.Pointer[nbio.Conn]
 	handed atomic.Int64
 	left   atomic.Int64
-	shut   atomic.Bool        // from here
-	taken  bool               // it was accepted, and has a place
-	told   atomic.Bool        // Closed was called, or will not be
+	shut   atomic.Bool // from here
+	place  bool        // it was accepted, and has a place
+	told   atomic.Bool // Closed was called, or will not be
+	up     sync.Once   // Accepted or Connected was told, or will not be
+	// turn is held while the poller takes the connection over and while it is closed from here: a descriptor that is
+	// closed and used again by another connection must not be handed to the poller for this one.
+	turn   sync.Mutex
 	cancel context.CancelFunc // of its dial
 	User   any                // the handler's own, set before anything of the stream is heard
 }
 
+// listener is what is used of a net.TCPListener.
+type listener interface {
+	net.Listener
+	SetDeadline(time.Time) error
+}
+
 // Streams are open TCP connections of one listener and of dials.
 type Streams struct {
-	engine  *nbio.Engine
-	handler Handler
-	room    chan struct{} // a place for each caller's connection
-	within  time.Duration // a dial that is not up by then ends
-	ctx     context.Context
-	stop    context.CancelFunc
-	dials   sync.WaitGroup
-	Local   netip.AddrPort
+	engine   *nbio.Engine
+	handler  Handler
+	listener listener
+	room     chan struct{} // a place for each caller's connection
+	within   time.Duration // a dial that is not up by then ends
+	ctx      context.Context
+	stop     context.CancelFunc
+	loops    sync.WaitGroup // dials, and the loop that accepts
+	accepts  sync.WaitGroup // that loop alone
+	ending   atomic.Bool    // it ends once nobody comes any more
+	Local    netip.AddrPort
 }
 
 // lateBy is how long after its time a dial is ended here, ms: whoever dialled decides first.
@@ -64,11 +78,12 @@
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, mostFiles)
 	s := &Streams{handler: h, room: make(chan struct{}, most), within: time.Duration((within + lateBy) * 1e6)}
 	s.ctx, s.stop = context.WithCancel(context.Background())
-	s.engine = nbio.NewEngine(nbio.Config{Name: "streams", Network: "tcp", Addrs: []string{addr.String()}, NPoller: 1, ReadBufferSize: streamBuffer,
-		Listen: s.listen})
-	s.engine.OnOpen(s.opened)
+	// The library's own listener is not used: where descriptors have run out it accepts without a pause, and it hands a
+	// connection that was closed meanwhile to the poller.
+	s.engine = nbio.NewEngine(nbio.Config{Name: "streams", NPoller: 1, ReadBufferSize: streamBuffer})
 	s.engine.OnData(func(c *nbio.Conn, b []byte) {
 		if st, ok := c.Session().(*Stream); ok && !st.shut.Load() {
+			s.begun(st)
 			h.Data(st, b)
 		}
 	})
@@ -79,76 +94,139 @@
 	})
 	s.engine.OnClose(s.closed)
 	if err := s.engine.Start(); err != nil {
+		return nil, fmt.Errorf("poller: %w", err)
+	}
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		s.engine.Stop()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	s.listener, s.Local = l, plain(l.Addr().(*net.TCPAddr).AddrPort())
+	s.accepts.Add(1)
+	go s.accept()
 	return s, nil
 }
 
 // mostFiles bounds the table that the library keeps of descriptors: it would else hold 16 MB.
 const mostFiles = 1 << 16
 
-// limited is a listener that takes a place for each connection before it accepts one.
-type limited struct {
-	net.Listener
-	room chan struct{}
-	done chan struct{}
-	once sync.Once
+const (
+	starved = 20 * time.Millisecond // between two tries to accept while the process has no descriptor left
+	nobody  = 20 * time.Millisecond // without a newcomer: whoever connected before the end has been accepted
+)
+
+// accept takes connections, each into a place of its own, till nobody comes after EndAccept.
+func (s *Streams) accept() {
+	defer s.accepts.Done()
+	defer s.listener.Close()
+	for {
+		select {
+		case s.room <- struct{}{}:
+		case <-s.ctx.Done():
+			return
+		}
+		last, since := s.ending.Load(), time.Now()
+		if last {
+			s.listener.SetDeadline(since.Add(nobody))
+		}
+		c, err := s.listener.Accept()
+		if err == nil {
+			s.adopt(&Stream{place: true}, c)
+			continue
+		}
+		<-s.room
+		switch {
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// the deadline of EndAccept only wakes this loop, and what is pending is not seen past it
+			if last && time.Since(since) >= nobody {
+				return
+			}
+		default:
+			select {
+			case <-time.After(starved):
+			case <-s.ctx.Done():
+				return
+			}
+		}
+	}
 }
 
-func (l *limited) Accept() (net.Conn, error) {
+// EndAccept ends the taking of connections: those whose callers have connected are still accepted, and then the listener
+// closes. It waits for that, no longer than most.
+func (s *Streams) EndAccept(most time.Duration) {
+	s.ending.Store(true)
+	s.listener.SetDeadline(time.Now())
+	done := make(chan struct{})
+	go func() {
+		s.accepts.Wait()
+		close(done)
+	}()
 	select {
-	case l.room <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.room
+	case <-done:
+	case <-time.After(most):
+		s.listener.Close()
 	}
-	return c, err
 }
 
-func (l *limited) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
+// begun tells that a stream is there, once, and before anything else of it.
+func (s *Streams) begun(st *Stream) {
+	st.up.Do(func() {
+		if !st.place {
+			s.handler.Connected(st)
+			return
+		}
+		from, _ := st.conn.Load().RemoteAddr().(*net.TCPAddr)
+		if from != nil {
+			s.handler.Accepted(st, from.AddrPort().Addr().Unmap())
+		}
+	})
 }
 
-func (s *Streams) listen(network, addr string) (net.Listener, error) {
-	l, err := net.Listen(network, addr)
+// adopt hands a connection to the poller. Only then is it told of: what is written before could neither wait for room in
+// the socket nor be counted as left.
+func (s *Streams) adopt(st *Stream, conn net.Conn) {
+	c, err := nbio.NBConn(conn)
 	if err != nil {
-		return nil, err
+		conn.Close()
+		s.leave(st, err)
+		return
 	}
-	s.Local = plain(l.Addr().(*net.TCPAddr).AddrPort())
-	return &limited{Listener: l, room: s.room, done: make(chan struct{})}, nil
-}
-
-// opened: accepted connections have no stream yet.
-func (s *Streams) opened(c *nbio.Conn) {
-	if c.Session() != nil {
+	st.turn.Lock()
+	if st.shut.Load() {
+		c.Close()
+		st.turn.Unlock()
 		return
 	}
-	st := &Stream{taken: true}
-	st.conn.Store(c)
 	c.SetSession(st)
-	from, _ := c.RemoteAddr().(*net.TCPAddr)
-	if from != nil {
-		s.handler.Accepted(st, from.AddrPort().Addr().Unmap())
+	st.conn.Store(c)
+	_, err = s.engine.AddConn(c)
+	st.turn.Unlock()
+	if err != nil {
+		s.leave(st, err)
+		return
 	}
+	s.begun(st)
 }
 
 func (s *Streams) closed(c *nbio.Conn, err error) {
-	st, ok := c.Session().(*Stream)
-	if !ok {
+	if st, ok := c.Session().(*Stream); ok {
+		s.leave(st, err)
+	}
+}
+
+// leave tells that a stream has ended, once, and gives its place back.
+func (s *Streams) leave(st *Stream, err error) {
+	if st.told.Swap(true) {
 		return
 	}
-	if st.taken {
+	if st.place {
 		<-s.room
 	}
-	s.end(st, err)
-}
-
-func (s *Streams) end(st *Stream, err error) {
-	if !st.told.Swap(true) && !st.shut.Load() {
+	known := true
+	st.up.Do(func() { known = !st.place }) // a caller's that nobody was told of has not been there
+	if known && !st.shut.Load() {
 		s.handler.Closed(st, err)
 	}
 }
@@ -158,31 +236,16 @@
 func (s *Streams) Dial(st *Stream, to netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(s.ctx, s.within)
 	st.cancel = cancel
-	s.dials.Add(1)
+	s.loops.Add(1)
 	go func() {
-		defer s.dials.Done()
+		defer s.loops.Done()
 		defer cancel()
 		conn, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", to.String())
 		if err != nil {
-			s.end(st, err)
+			s.leave(st, err)
 			return
 		}
-		c, err := nbio.NBConn(conn)
-		if err != nil {
-			conn.Close()
-			s.end(st, err)
-			return
-		}
-		c.SetSession(st)
-		st.conn.Store(c)
-		if st.shut.Load() {
-			c.Close()
-			return
-		}
-		s.handler.Connected(st)
-		if _, err := s.engine.AddConn(c); err != nil {
-			s.end(st, err)
-		}
+		s.adopt(st, conn)
 	}()
 }
 
@@ -211,14 +274,31 @@
 	if st.cancel != nil {
 		st.cancel()
 	}
+	st.turn.Lock()
+	defer st.turn.Unlock()
 	if c := st.conn.Load(); c != nil {
 		c.Close()
 	}
 }
 
+// EndWrite says that nothing more will be written: the other side reads what was, and then the end.
+func (st *Stream) EndWrite() {
+	st.turn.Lock()
+	defer st.turn.Unlock()
+	c := st.conn.Load()
+	if c == nil || st.shut.Load() || st.told.Load() {
+		return
+	}
+	if raw, err := c.SyscallConn(); err == nil {
+		raw.Control(func(fd uintptr) { syscall.Shutdown(int(fd), syscall.SHUT_WR) })
+	}
+}
+
 // Close closes all.
 func (s *Streams) Close() {
 	s.stop()
-	s.dials.Wait()
+	s.listener.Close()
+	s.accepts.Wait()
+	s.loops.Wait()
 	s.engine.Stop()
 }
--- a/reactor/stream_test.go
+++ b/reactor/stream_test.go
@@ -5,13 +5,17 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
 
 // ears is a handler that notes what it hears.
 type ears struct {
+	told      func(*Stream) // done when a stream is told of, before anything else
 	mu        sync.Mutex
 	accepted  []*Stream
 	connected int
@@ -21,11 +25,21 @@
 }
 
 func (e *ears) Accepted(s *Stream, _ netip.Addr) {
+	if e.told != nil {
+		e.told(s)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.accepted = append(e.accepted, s)
 }
-func (e *ears) Connected(*Stream)        { e.mu.Lock(); defer e.mu.Unlock(); e.connected++ }
+func (e *ears) Connected(s *Stream) {
+	if e.told != nil {
+		e.told(s)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.connected++
+}
 func (e *ears) Data(_ *Stream, b []byte) { e.mu.Lock(); defer e.mu.Unlock(); e.data.Write(b) }
 func (e *ears) Left(*Stream)             { e.mu.Lock(); defer e.mu.Unlock(); e.left++ }
 func (e *ears) Closed(_ *Stream, err error) {
@@ -49,9 +63,10 @@
 	t.Errorf("%s: never", what)
 }
 
-func serve(t *testing.T, most int) (*Streams, *ears) {
+func serve(t *testing.T, most int) (*Streams, *ears) { return serveTo(t, most, &ears{}) }
+
+func serveTo(t *testing.T, most int, e *ears) (*Streams, *ears) {
 	t.Helper()
-	e := &ears{}
 	s, err := ServeStreams(netip.MustParseAddrPort("127.0.0.1:0"), most, 300, e)
 	if err != nil {
 		t.Fatal(err)
@@ -182,3 +197,189 @@
 	first.Shut() // from here
 	e.until(t, "the third accepted", func() bool { return len(e.accepted) == 3 })
 }
+
+// Whoever is told of a stream may use it at once: what it writes in that very instant leaves, also what the socket does
+// not take at once, and one that it shuts gives back its place and harms no other.
+func TestUsedWhenTold(t *testing.T) {
+	const size = 16 << 20
+	for _, dialled := range []bool{false, true} {
+		s, e := serveTo(t, 4, &ears{told: func(st *Stream) { st.Write(make([]byte, size)) }})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		var c net.Conn
+		if dialled {
+			s.Dial(&Stream{}, netip.MustParseAddrPort(l.Addr().String()))
+			c, err = l.Accept()
+		} else {
+			c, err = net.Dial("tcp", s.Local.String())
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if n, err := io.CopyN(io.Discard, c, size); err != nil {
+			t.Errorf("dialled %v: %d bytes came: %v", dialled, n, err)
+		}
+		e.until(t, "left", func() bool { return e.left > 0 })
+	}
+}
+
+func TestShutWhenTold(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	e := &ears{}
+	s, _ := serveTo(t, 2, e)
+	other := make(chan net.Conn, 1)
+	var first atomic.Bool
+	e.mu.Lock()
+	e.told = func(st *Stream) {
+		if first.Swap(true) {
+			return
+		}
+		st.Shut()
+		s.Dial(&Stream{}, netip.MustParseAddrPort(l.Addr().String())) // it gets the descriptor that has just been closed
+		c, err := l.Accept()
+		if err != nil {
+			t.Error(err)
+		}
+		e.until(t, "connected", func() bool { return e.connected == 1 })
+		other <- c
+	}
+	e.mu.Unlock()
+	c, err := net.Dial("tcp", s.Local.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	o := <-other
+	defer o.Close()
+	e.until(t, "the one that was shut was told of", func() bool { return len(e.accepted) == 1 })
+	o.Write([]byte("mine"))
+	e.until(t, "the other is heard", func() bool { return e.data.String() == "mine" })
+	for range 2 { // its place is free
+		c, err := net.Dial("tcp", s.Local.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	e.until(t, "two more accepted", func() bool { return len(e.accepted) == 3 })
+}
+
+// starvedListener has no descriptor left for the first accepts.
+type starvedListener struct {
+	listener
+	mu    sync.Mutex
+	fails int
+	asked int
+}
+
+func (l *starvedListener) Accept() (net.Conn, error) {
+	l.mu.Lock()
+	l.asked++
+	fails := l.asked <= l.fails
+	l.mu.Unlock()
+	if fails {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.listener.Accept()
+}
+
+// Where descriptors have run out the next try waits, and whoever waits in the kernel gets in once there are some again.
+func TestStarved(t *testing.T) {
+	s, e := serve(t, 2)
+	old := s.listener
+	s.EndAccept(time.Second) // ends the loop and its listener; another begins
+	again, err := net.ListenTCP("tcp", old.Addr().(*net.TCPAddr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &starvedListener{listener: again, fails: 3}
+	s.listener = l
+	s.ending.Store(false)
+	s.accepts.Add(1)
+	go s.accept()
+	c, err := net.Dial("tcp", s.Local.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	e.until(t, "accepted", func() bool { return len(e.accepted) == 1 })
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.asked < 4 || l.asked > 6 {
+		t.Errorf("%d accepts", l.asked)
+	}
+}
+
+// pausedListener holds accepted connections back till it is told, so that some wait in the kernel at the end.
+type pausedListener struct {
+	listener
+	begin chan struct{}
+}
+
+func (l *pausedListener) Accept() (net.Conn, error) {
+	<-l.begin
+	return l.listener.Accept()
+}
+
+// At the end whoever has connected is still accepted, what was written is read, and the listener is closed.
+func TestEndAccept(t *testing.T) {
+	s, e := serve(t, 8)
+	addr := s.listener.Addr().(*net.TCPAddr)
+	s.EndAccept(time.Second)
+	if c, err := net.Dial("tcp", addr.String()); err == nil {
+		c.Close()
+		t.Error("it still listens")
+	}
+	again, err := net.ListenTCP("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &pausedListener{again, make(chan struct{})}
+	s.listener = l
+	s.ending.Store(false)
+	s.accepts.Add(1)
+	go s.accept()
+	for range 3 {
+		c, err := net.Dial("tcp", addr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.Write([]byte("ask"))
+	}
+	s.ending.Store(true) // they are in the kernel's queue, and the end is there
+	close(l.begin)
+	s.EndAccept(2 * time.Second)
+	e.until(t, "three accepted and read", func() bool { return len(e.accepted) == 3 && e.data.Len() == 9 })
+	e.accepted[0].EndWrite()
+}
+
+// What was written before the end of writing is read by the other side, and then the end; what it still sends does no harm.
+func TestEndWrite(t *testing.T) {
+	s, e := serve(t, 2)
+	c, err := net.Dial("tcp", s.Local.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	e.until(t, "accepted", func() bool { return len(e.accepted) == 1 })
+	st := e.accepted[0]
+	st.Write([]byte("answer"))
+	st.EndWrite()
+	c.Write([]byte("late"))
+	c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if b, err := io.ReadAll(c); err != nil || string(b) != "answer" {
+		t.Errorf("%q, %v", b, err)
+	}
+	c.Close()
+	e.until(t, "closed", func() bool { return len(e.closed) == 1 })
+}
