A switch that refuses lines is not dead while a line to it is up: its calls go on

At fault: trunk.look and intake.Silence counted refused tries as no answer, and trunk.lost took any refusal without a line up for the death of the process.

Change: only mute tries count (not even refused, or accepted without a word); a refusal proves a death only after lines were reset; without any line for 6.5 s calls are over (a release that can't be sent is due within 8 s of its end).

Also: the stream's listener opens before the poller starts; an engine that is stopped in its start may never end (TestTaken hung once).

--- a/intake/links.go
+++ b/intake/links.go
@@ -79,16 +79,19 @@
 const (
 	quietAfter = 1500.0 // ms without a word while calls are there
 	deadAfter  = 4000.0 // ms
-	deadTries  = 2      // tries to connect that came to nothing since it was last heard
+	deadTries  = 2      // tries to connect that nobody answered since it was last heard
+	lostAfter  = 6500.0 // ms without any connection: a call that has ended there unheard must be released within 8 s
 )
 
-// Silence judges a switch with calls that has said nothing for so many ms. It guards against machines that vanish: their
-// connections stay open, and nothing ever says that their calls are over.
-func Silence(ms float64, failed int) Life {
+// Silence judges a switch with calls that has said nothing for quiet ms, to which no line has been up for away ms, and
+// where so many tries to connect were mute: not even refused. It guards against machines that vanish: their connections
+// stay open, and nothing ever says that their calls are over. One that refuses is there, and may only take no new lines:
+// its calls go on, as long as a line is up on which their ends can come.
+func Silence(quiet, away float64, mute int) Life {
 	switch {
-	case ms > deadAfter && failed >= deadTries:
+	case quiet > deadAfter && mute >= deadTries, away > lostAfter:
 		return Died
-	case ms > quietAfter:
+	case quiet > quietAfter:
 		return Doubt
 	}
 	return Lives
--- a/reactor/stream.go
+++ b/reactor/stream.go
@@ -93,14 +93,14 @@
 		}
 	})
 	s.engine.OnClose(s.closed)
-	if err := s.engine.Start(); err != nil {
-		return nil, fmt.Errorf("poller: %w", err)
-	}
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr)) // first: an engine that is stopped as it starts may never end
 	if err != nil {
-		s.engine.Stop()
 		return nil, fmt.Errorf("listen: %w", err)
 	}
+	if err := s.engine.Start(); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("poller: %w", err)
+	}
 	s.listener, s.Local = l, plain(l.Addr().(*net.TCPAddr).AddrPort())
 	s.accepts.Add(1)
 	go s.accept()
@@ -252,6 +252,11 @@
 // Refused tells whether an error says that somebody was there and took no connection.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// Reset tells whether an error says that the other side has torn a connection down.
+func Reset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Write hands bytes on, in order; it tells whether all that was ever handed has left.
 func (st *Stream) Write(b []byte) bool {
 	c := st.conn.Load()
