A planned restart ends in stages: nobody at the door, answers have left, callers have hung up

Found by reading: the end of Run closed the listener and all connections at once. What lay in the kernel's accept queue, an answer in a link's queue or in the socket went with it, and a close with unread bytes resets the connection and may destroy an answer that was on its way (serve.Run, Streams.Close). Which requests are owed: PROTOCOL counts one as taken once its last byte is written to a connection the machine accepted.

--- a/reactor/stream.go
+++ b/reactor/stream.go
@@ -63,6 +63,7 @@
 	loops    sync.WaitGroup // dials, and the loop that accepts
 	accepts  sync.WaitGroup // that loop alone
 	ending   atomic.Bool    // it ends once nobody comes any more
+	ended    atomic.Bool    // it has
 	Local    netip.AddrPort
 }
 
@@ -118,6 +119,7 @@
 // accept takes connections, each into a place of its own, till nobody comes after EndAccept.
 func (s *Streams) accept() {
 	defer s.accepts.Done()
+	defer s.ended.Store(true)
 	defer s.listener.Close()
 	for {
 		select {
@@ -154,22 +156,15 @@
 }
 
 // EndAccept ends the taking of connections: those whose callers have connected are still accepted, and then the listener
-// closes. It waits for that, no longer than most.
-func (s *Streams) EndAccept(most time.Duration) {
+// closes. It does not wait for that; Accepting tells.
+func (s *Streams) EndAccept() {
 	s.ending.Store(true)
 	s.listener.SetDeadline(time.Now())
-	done := make(chan struct{})
-	go func() {
-		s.accepts.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-time.After(most):
-		s.listener.Close()
-	}
 }
 
+// Accepting tells whether connections are still accepted.
+func (s *Streams) Accepting() bool { return !s.ended.Load() }
+
 // begun tells that a stream is there, once, and before anything else of it.
 func (s *Streams) begun(st *Stream) {
 	st.up.Do(func() {
--- a/reactor/stream_test.go
+++ b/reactor/stream_test.go
@@ -296,7 +296,8 @@
 func TestStarved(t *testing.T) {
 	s, e := serve(t, 2)
 	old := s.listener
-	s.EndAccept(time.Second) // ends the loop and its listener; another begins
+	s.EndAccept() // ends the loop and its listener; another begins
+	s.accepts.Wait()
 	again, err := net.ListenTCP("tcp", old.Addr().(*net.TCPAddr))
 	if err != nil {
 		t.Fatal(err)
@@ -334,7 +335,11 @@
 func TestEndAccept(t *testing.T) {
 	s, e := serve(t, 8)
 	addr := s.listener.Addr().(*net.TCPAddr)
-	s.EndAccept(time.Second)
+	s.EndAccept()
+	s.accepts.Wait()
+	if s.Accepting() {
+		t.Error("it is said to accept")
+	}
 	if c, err := net.Dial("tcp", addr.String()); err == nil {
 		c.Close()
 		t.Error("it still listens")
@@ -358,7 +363,7 @@
 	}
 	s.ending.Store(true) // they are in the kernel's queue, and the end is there
 	close(l.begin)
-	s.EndAccept(2 * time.Second)
+	s.EndAccept()
 	e.until(t, "three accepted and read", func() bool { return len(e.accepted) == 3 && e.data.Len() == 9 })
 	e.accepted[0].EndWrite()
 }
