--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -174,6 +174,103 @@
 	}
 }
 
+// TestFewGatewaysAndColdPools has twenty or thirty modules beside pools that start cold in one step, while all gateways are
+// restarted, a few at a time, and forget what they sent. They are told of the start at once or late. In no window that tips
+// a pool do all of them send it more than N + 2 root N + 2, N being what the settings allow it then.
+func TestFewGatewaysAndColdPools(t *testing.T) {
+	worst := 0.0
+	for seed := int64(1); seed <= 24; seed++ {
+		rnd := rand.New(rand.NewSource(seed))
+		pools, gateways := 3+rnd.Intn(8), []int{20, 30}[seed%2]
+		lines, every := 100+rnd.Float64()*400, 150+rnd.Float64()*600
+		cold := 1 + rnd.Intn(pools/2) // so many of the pools start in one step
+		late := []float64{0, 500, 1500}[rnd.Intn(3)]
+		const start, end = 1e6 + 6000.0, 1e6 + 6000 + 12000
+		sent := make([][]float64, cold)
+		for i := range gateways {
+			told, restart := rnd.Float64()*late, start+rnd.Float64()*8000
+			begin := func(at float64, again int) (*bench, []*contact.Pool) {
+				h, ps := setup(pools)
+				h.now = at
+				h.b.set.Gateways, h.b.set.Seed = gateways, uint64(seed)*1e6+uint64(i)*7919+uint64(again)
+				for _, p := range ps {
+					p.Report.Agents, p.Report.Free = lines, lines/2
+				}
+				return h, ps
+			}
+			h, ps := begin(1e6+rnd.Float64()*5, 0)
+			for k := range cold {
+				ps[k].State = contact.Gone // down before: contacts come all the time
+			}
+			h.b.Listed(h.now, ps[:cold])
+			heard, again := false, false
+			next := h.now + rnd.ExpFloat64()*every
+			for h.now < end {
+				h.pass(10)
+				if !again && h.now >= restart {
+					again = true
+					for k := range cold {
+						sent[k] = append(sent[k], h.sent[ps[k]]...)
+					}
+					h, ps = begin(h.now+200, 1)
+					next = h.now + rnd.ExpFloat64()*every
+					if heard = h.now >= start+told; !heard {
+						for k := range cold {
+							ps[k].State = contact.Gone
+						}
+						h.b.Listed(h.now, ps[:cold])
+					}
+					for k := range cold {
+						if heard { // it is told of the start with its first list
+							ps[k].Since = start
+						}
+					}
+					h.b.Listed(h.now, ps[:cold])
+				}
+				if !heard && h.now >= start+told {
+					heard = true
+					for k := range cold {
+						ps[k].State, ps[k].Since = contact.Ready, start
+					}
+					h.b.Listed(h.now, ps[:cold])
+				}
+				for ; next < h.now; next += rnd.ExpFloat64() * every {
+					h.offer(ps[rnd.Intn(pools)])
+				}
+				for _, r := range h.rings[max(0, len(h.rings)-50):] {
+					if c := r.Contact; c.Out == r && !c.Stands && h.now > r.Sent+30 {
+						h.stand(c, 30)
+					}
+				}
+			}
+			for k := range cold {
+				sent[k] = append(sent[k], h.sent[ps[k]]...)
+			}
+		}
+		warm := float64(gateways) / every * 1000 / float64(pools) // the load of a place, in set-ups a second
+		total := 0
+		for _, of := range sent {
+			sort.Float64s(of)
+			total += len(of)
+			for i, from := range of {
+				part := math.Min(1, 0.3+0.7*(from+500-start)/14000)
+				n, budget := within(of[i:], from+1000), 2.5*part*warm
+				most := budget + 2*math.Sqrt(budget) + 2
+				worst = math.Max(worst, float64(n)/most)
+				if float64(n) > most {
+					t.Errorf("seed %d: %d gateways, %d of %d pools cold: %d set-ups in a second, %.0f ms after the start, at most %.1f",
+						seed, gateways, cold, pools, n, from-start, most)
+					break
+				}
+			}
+		}
+		if total == 0 {
+			t.Errorf("seed %d: nothing was sent to a cold pool", seed)
+		}
+	}
+	t.Logf("at most %.2f of what tips a pool", worst)
+}
+
 // finish ends a ring and forgets it.
 func (h *bench) finish(open map[*contact.Ring]float64, r *contact.Ring, end contact.End) {
 	delete(open, r)
