--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -4,6 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
 
 	"cobaltpier/contact"
 )
@@ -59,10 +62,53 @@
 	}
 }
 
+// decode reads JSON; a fault is told with the field's name as its writer spells it.
+func decode(text []byte, into any) error {
+	err := json.Unmarshal(text, into)
+	var t *json.UnmarshalTypeError
+	if errors.As(err, &t) {
+		of := strings.Split(strings.TrimPrefix(t.Field, "."), ".")
+		for i, f := range of {
+			if f != "" {
+				of[i] = strings.ToLower(f[:1]) + f[1:]
+			}
+		}
+		return fmt.Errorf("%s: want %s, got %s", strings.Join(of, "."), t.Type, t.Value)
+	}
+	return err
+}
+
+// check finds what no deployment can mean. Other figures below 0 switch off what they bound.
+func (w *object) check() error {
+	named := map[string]int{}
+	for i, c := range w.Lanes {
+		if c.Name == "" {
+			return fmt.Errorf("lanes[%d].name: missing", i)
+		}
+		if j, twice := named[c.Name]; twice {
+			return fmt.Errorf("lanes[%d].name: %q is the name of lanes[%d] too", i, c.Name, j)
+		}
+		named[c.Name] = i
+		if c.HardLimit < 0 {
+			return fmt.Errorf("lanes[%d].hardLimit: want milliseconds from 0 up, got %v", i, c.HardLimit)
+		}
+	}
+	if w.Balancers < 0 {
+		return fmt.Errorf("balancers: want a number from 0 up, got %d", w.Balancers)
+	}
+	if w.FamilyInfo.ClearWait < 0 {
+		return fmt.Errorf("familyInfo.clearWait: want milliseconds from 0 up, got %v", w.FamilyInfo.ClearWait)
+	}
+	return nil
+}
+
 // Decode turns the object into the module's settings; the second result is the reports' fields.
 func Decode(text []byte, seed uint64) (*contact.Settings, []string, error) {
 	var w object
-	if err := json.Unmarshal(text, &w); err != nil {
+	if err := decode(text, &w); err != nil {
+		return nil, nil, err
+	}
+	if err := w.check(); err != nil {
 		return nil, nil, err
 	}
 	s := &contact.Settings{
@@ -112,7 +158,7 @@
 			MostHeld                 int
 		}
 	}
-	if err := json.Unmarshal(text, &w); err != nil {
+	if err := decode(text, &w); err != nil {
 		return Links{}, err
 	}
 	return Links{ConnectTimeout: w.Allowed.ConnectTimeout, Idle: w.Allowed.ConnIdle, MostHeld: w.Allowed.MostHeld}, nil
