--- a/intake/leaving.go
+++ b/intake/leaving.go
@@ -7,12 +7,12 @@
 
 // The stages, in their order. A gateway never goes back to an earlier one.
 const (
-	Serving   Stage = iota // nobody told it to go
-	Taking                 // contacts still come, and are taken
-	Deferring              // what comes is deferred at once; what is held and stands goes on
-	Flushing               // nobody is let in any more, and what is held has its last answer: that has to leave
-	HangingUp              // callers' connections are ended in order, so that no answer is lost to a reset
-	Over                   // the process may end
+	Serving     Stage = iota // nobody told it to go
+	Taking                   // contacts still come, and are taken
+	Deferring                // what comes is deferred at once; what is held and stands goes on
+	Flushing                 // nobody is let in any more, and what is held has its last answer: that has to leave
+	HalfClosing              // callers' connections are ended in order, so that no answer is lost to a reset
+	Over                     // the process may end
 )
 
 // Told is how a gateway stands that was told to go.
@@ -34,7 +34,7 @@
 	longest  = 3000.0 // it waits for no longer patience than this before it kills
 	lastWord = 300.0  // before that: what is still held is answered, in the time of the two below and some more
 	flushFor = 120.0  // so long for answers to leave
-	hangFor  = 60.0   // and so long for callers to close
+	closeFor = 60.0   // and so long for callers to close
 )
 
 // Next is the stage after s, or s itself. It settles what is owed before the process goes: contacts are answered before
@@ -47,8 +47,8 @@
 	case s == Deferring && (t.Since > stayOn && t.Waiting == 0 && t.Standing == 0 || t.Since > kill-lastWord):
 		return Flushing
 	case s == Flushing && (!t.Accepting && t.Unsent == 0 && t.Waiting == 0 || t.In > flushFor):
-		return HangingUp
-	case s == HangingUp && (t.Open == 0 || t.In > hangFor):
+		return HalfClosing
+	case s == HalfClosing && (t.Open == 0 || t.In > closeFor):
 		return Over
 	}
 	return s
--- a/intake/leaving_test.go
+++ b/intake/leaving_test.go
@@ -23,11 +23,11 @@
 		{"somebody may be at the door", Flushing, Told{In: 100, Accepting: true}, Flushing},
 		{"an answer has not left", Flushing, Told{In: 100, Unsent: 1}, Flushing},
 		{"one that came last has none", Flushing, Told{In: 100, Waiting: 1}, Flushing},
-		{"all have left", Flushing, Told{In: 1}, HangingUp},
-		{"one reads nothing", Flushing, Told{In: 121, Unsent: 1, Accepting: true}, HangingUp},
-		{"a caller has not closed", HangingUp, Told{In: 60, Open: 1}, HangingUp},
-		{"all have", HangingUp, Told{In: 1}, Over},
-		{"one never does", HangingUp, Told{In: 61, Open: 1}, Over},
+		{"all have left", Flushing, Told{In: 1}, HalfClosing},
+		{"one reads nothing", Flushing, Told{In: 121, Unsent: 1, Accepting: true}, HalfClosing},
+		{"a caller has not closed", HalfClosing, Told{In: 60, Open: 1}, HalfClosing},
+		{"all have", HalfClosing, Told{In: 1}, Over},
+		{"one never does", HalfClosing, Told{In: 61, Open: 1}, Over},
 		{"it is over", Over, Told{}, Over},
 	} {
 		if got := c.s.Next(c.t); got != c.want {
--- a/intake/links.go
+++ b/intake/links.go
@@ -104,12 +104,12 @@
 )
 
 // Silence judges a switch with calls that has said nothing for quiet ms, to which no line has been up for away ms, and
-// where so many tries to connect were mute: not even refused. It guards against machines that vanish: their connections
+// where so many tries to connect brought no answer, not even a refusal. It guards against machines that vanish: their connections
 // stay open, and nothing ever says that their calls are over. One that refuses is there, and may only take no new lines:
 // its calls go on, as long as a line is up on which their ends can come.
-func Silence(quiet, away float64, mute int) Life {
+func Silence(quiet, away float64, unanswered int) Life {
 	switch {
-	case quiet > deadAfter && mute >= deadTries, away > lostAfter:
+	case quiet > deadAfter && unanswered >= deadTries, away > lostAfter:
 		return Died
 	case quiet > quietAfter:
 		return Doubt
--- a/intake/links_test.go
+++ b/intake/links_test.go
@@ -72,16 +72,16 @@
 	}
 }
 
-// Silence alone proves nothing, nor do mute tries: both together do; so does it to be without any line for long.
+// Silence alone proves nothing, nor do unanswered tries: both together do; so does it to be without any line for long.
 func TestSilence(t *testing.T) {
 	for _, c := range []struct {
 		quiet, away float64
-		mute        int
+		unanswered  int
 		want        Life
 	}{{1500, 0, 5, Lives}, {1501, 0, 0, Doubt}, {4000, 0, 5, Doubt}, {60000, 0, 1, Doubt}, {4001, 0, 2, Died},
 		{6500, 6500, 0, Doubt}, {6501, 6501, 0, Died}} {
-		if got := Silence(c.quiet, c.away, c.mute); got != c.want {
-			t.Errorf("quiet %v ms, away %v ms, %d mute: %v, want %v", c.quiet, c.away, c.mute, got, c.want)
+		if got := Silence(c.quiet, c.away, c.unanswered); got != c.want {
+			t.Errorf("quiet %v ms, away %v ms, %d unanswered: %v, want %v", c.quiet, c.away, c.unanswered, got, c.want)
 		}
 	}
 }
--- a/reactor/stream.go
+++ b/reactor/stream.go
@@ -112,11 +112,11 @@
 const mostFiles = 1 << 16
 
 const (
-	starved = 20 * time.Millisecond // between two tries to accept while the process has no descriptor left
-	nobody  = 20 * time.Millisecond // without a newcomer: whoever connected before the end has been accepted
+	acceptRetry = 20 * time.Millisecond // between two tries to accept while the process has no descriptor left
+	acceptQuiet = 20 * time.Millisecond // without a newcomer: whoever connected before the end has been accepted
 )
 
-// accept takes connections, each into a place of its own, till nobody comes after EndAccept.
+// accept takes connections, each into a place of its own, till nobody comes after StopAccept.
 func (s *Streams) accept() {
 	defer s.accepts.Done()
 	defer s.ended.Store(true)
@@ -129,7 +129,7 @@
 		}
 		last, since := s.ending.Load(), time.Now()
 		if last {
-			s.listener.SetDeadline(since.Add(nobody))
+			s.listener.SetDeadline(since.Add(acceptQuiet))
 		}
 		c, err := s.listener.Accept()
 		if err == nil {
@@ -141,13 +141,13 @@
 		case errors.Is(err, net.ErrClosed):
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			// the deadline of EndAccept only wakes this loop, and what is pending is not seen past it
-			if last && time.Since(since) >= nobody {
+			// the deadline of StopAccept only wakes this loop, and what is pending is not seen past it
+			if last && time.Since(since) >= acceptQuiet {
 				return
 			}
 		default:
 			select {
-			case <-time.After(starved):
+			case <-time.After(acceptRetry):
 			case <-s.ctx.Done():
 				return
 			}
@@ -155,9 +155,9 @@
 	}
 }
 
-// EndAccept ends the taking of connections: those whose callers have connected are still accepted, and then the listener
+// StopAccept ends the taking of connections: those whose callers have connected are still accepted, and then the listener
 // closes. It does not wait for that; Accepting tells.
-func (s *Streams) EndAccept() {
+func (s *Streams) StopAccept() {
 	s.ending.Store(true)
 	s.listener.SetDeadline(time.Now())
 }
@@ -281,8 +281,8 @@
 	}
 }
 
-// EndWrite says that nothing more will be written: the other side reads what was, and then the end.
-func (st *Stream) EndWrite() {
+// CloseWrite says that nothing more will be written: the other side reads what was, and then the end.
+func (st *Stream) CloseWrite() {
 	st.turn.Lock()
 	defer st.turn.Unlock()
 	c := st.conn.Load()
--- a/reactor/stream_test.go
+++ b/reactor/stream_test.go
@@ -296,7 +296,7 @@
 func TestStarved(t *testing.T) {
 	s, e := serve(t, 2)
 	old := s.listener
-	s.EndAccept() // ends the loop and its listener; another begins
+	s.StopAccept() // ends the loop and its listener; another begins
 	s.accepts.Wait()
 	again, err := net.ListenTCP("tcp", old.Addr().(*net.TCPAddr))
 	if err != nil {
@@ -332,10 +332,10 @@
 }
 
 // At the end whoever has connected is still accepted, what was written is read, and the listener is closed.
-func TestEndAccept(t *testing.T) {
+func TestStopAccept(t *testing.T) {
 	s, e := serve(t, 8)
 	addr := s.listener.Addr().(*net.TCPAddr)
-	s.EndAccept()
+	s.StopAccept()
 	s.accepts.Wait()
 	if s.Accepting() {
 		t.Error("it is said to accept")
@@ -363,13 +363,13 @@
 	}
 	s.ending.Store(true) // they are in the kernel's queue, and the end is there
 	close(l.begin)
-	s.EndAccept()
+	s.StopAccept()
 	e.until(t, "three accepted and read", func() bool { return len(e.accepted) == 3 && e.data.Len() == 9 })
-	e.accepted[0].EndWrite()
+	e.accepted[0].CloseWrite()
 }
 
 // What was written before the end of writing is read by the other side, and then the end; what it still sends does no harm.
-func TestEndWrite(t *testing.T) {
+func TestCloseWrite(t *testing.T) {
 	s, e := serve(t, 2)
 	c, err := net.Dial("tcp", s.Local.String())
 	if err != nil {
@@ -379,7 +379,7 @@
 	e.until(t, "accepted", func() bool { return len(e.accepted) == 1 })
 	st := e.accepted[0]
 	st.Write([]byte("answer"))
-	st.EndWrite()
+	st.CloseWrite()
 	c.Write([]byte("late"))
 	c.SetReadDeadline(time.Now().Add(2 * time.Second))
 	if b, err := io.ReadAll(c); err != nil || string(b) != "answer" {
