--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -36,6 +36,7 @@
 	releasedAt time.Time // the gateway has released a call that stood
 	endCause   byte
 	hungUpAt   time.Time
+	resumed    bool // it was named to a gateway as one that stands
 	finals     int
 }
 
