Review: settings of one deployment in case 1, scripts that met nothing exit with 2

Case 1 took its settings from one deployment and the sentence on given-up set-ups from another, and its processor wait began at SIGTERM.

A script exits with 2 where the disruption met nothing or a gateway ended by itself; it would have said that the rule held, or was broken. Shared state of the stand-ins is locked: case 2 could have spoilt two answers. The checks are as they were.

--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -26,6 +27,9 @@
 	log    *os.File
 	cmd    *exec.Cmd
 	ended  chan struct{}
+
+	mu      sync.Mutex // held while the process is started or stopped
+	stopped bool       // it is not started again
 }
 
 // gatewayOptions is what differs between the cases.
@@ -70,6 +74,18 @@
 	}
 }
 
+// absenceLine changes settings to those of the absence line (docs/BRIEF), with the given semantics of its class.
+func absenceLine(semantics string) map[string]any {
+	s := settings(semantics)
+	s["lanes"].([]map[string]any)[0]["aim"] = 1500.0
+	s["familyInfo"].(map[string]any)["clearWait"] = 200.0
+	s["familyInfo"].(map[string]any)["givesWait"] = false
+	s["rules"].(map[string]any)["coldShare"] = 0.3
+	s["rules"].(map[string]any)["stopSendingWithin"] = 500.0
+	s["stats"] = map[string]any{"fields": []string{"free", "size", "can_take"}, "how": "inline"}
+	return s
+}
+
 // deployCommand returns a command of the deploy file.
 func deployCommand(root, key string) (string, error) {
 	file, err := os.ReadFile(filepath.Join(root, "deploy", "balancer.toml"))
@@ -132,6 +148,11 @@
 
 // start starts the process with the run command of the deploy file.
 func (g *gateway) start() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return errStopped
+	}
 	g.cmd = exec.Command("/bin/sh", "-c", g.run)
 	g.cmd.Dir = g.root
 	for _, variable := range os.Environ() {
@@ -160,8 +181,23 @@
 	_ = g.cmd.Process.Signal(s)
 }
 
+var errEndedByItself = errors.New("the gateway has ended by itself, so the case says nothing about its rule")
+
+// check fails if the process has ended.
+func (g *gateway) check() error {
+	select {
+	case <-g.ended:
+		return errEndedByItself
+	default:
+		return nil
+	}
+}
+
 // stop ends the process.
 func (g *gateway) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
 	if g.cmd == nil || g.cmd.Process == nil {
 		return
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -97,6 +97,9 @@
 
 // start starts switches, a name server and one gateway, and waits until the gateway is ready.
 func (l *lab) start(switches []*coreSwitch, options gatewayOptions) (*gateway, *nameServer, error) {
+	for _, sw := range switches {
+		sw.serve()
+	}
 	names, err := newNameServer(1, switches...)
 	if err != nil {
 		return nil, nil, err
--- a/review/standin/restart.go
+++ b/review/standin/restart.go
@@ -37,7 +37,10 @@
 		time.Sleep(time.Until(begin.Add(time.Duration(number+1) * time.Second / callRate)))
 	}
 	l.rec.report("%d and %d calls stand at the core switches; %d and %d releases are to be sent again on the next connection",
-		switches[0].standing(), switches[1].standing(), len(switches[0].again), len(switches[1].again))
+		switches[0].standing(), switches[1].standing(), switches[0].toSendAgain(), switches[1].toSendAgain())
+	if err := g.check(); err != nil {
+		return false, err
+	}
 	if l.trouble {
 		g.signal(syscall.SIGKILL)
 		<-g.ended
@@ -56,6 +59,9 @@
 		}
 	}
 	time.Sleep(22 * time.Second) // the longest call, and the limit of the page
+	if err := g.check(); err != nil {
+		return false, err
+	}
 	return l.judgeAll(clients, switches)
 }
 
@@ -71,12 +77,12 @@
 	var standing []*clientCall
 	for _, call := range c.calls {
 		if !call.answeredAt.IsZero() && call.releasedAt.IsZero() {
+			call.resumed = true
 			standing = append(standing, call)
 		}
 	}
 	c.mu.Unlock()
 	for _, call := range standing {
-		call.resumed = true
 		c.resume(call, call.answer[len("answer of "):])
 	}
 }
@@ -122,5 +128,8 @@
 	if stood == 0 {
 		return false, errNothingJudged
 	}
+	if l.trouble && resumed == 0 {
+		return false, errNoDisruption
+	}
 	return resumedNever+otherNever > 0, nil
 }
--- a/review/standin/shutdown.go
+++ b/review/standin/shutdown.go
@@ -27,24 +27,13 @@
 		sw.id = []string{"s-00000001", "s-00000002"}[i%2]
 	}
 	var mu sync.Mutex
-	var slowSince time.Time
 	ran := map[string]int{}      // how often each called number's set-up was worked on
 	reached := map[uint64]bool{} // set-ups that reached a core switch
-	wait := func(int) time.Duration {
-		mu.Lock()
-		defer mu.Unlock()
-		if slowSince.IsZero() {
-			return 100 * time.Millisecond
-		}
-		return processorWait
-	}
-	for i, sw := range switches {
+	for _, sw := range switches {
+		sw.report = "free:1000;size:1200;can_take:60"
 		sw.finishGivenUp = true
-		sw.holdFor = func(int) time.Duration { return 5 * time.Second }
-		sw.answerAfter = func(int) time.Duration { return 100 * time.Millisecond }
-		if i < 2 { // as the gateway that is restarted meets them
-			sw.answerAfter = wait
-		}
+		sw.holdFor = func(int) time.Duration { return 8500 * time.Millisecond }
+		sw.answerAfter = func(int) time.Duration { return processorWait }
 		sw.onSetupReceived = func(call *switchCall) bool {
 			mu.Lock()
 			defer mu.Unlock()
@@ -57,11 +46,11 @@
 			ran[call.number]++
 		}
 	}
-	g, _, err := l.start(switches[:2], gatewayOptions{name: "n0", settings: settings("side_effect")})
+	g, _, err := l.start(switches[:2], gatewayOptions{name: "n0", settings: absenceLine("side_effect")})
 	if err != nil {
 		return false, err
 	}
-	other, _, err := l.start(switches[2:], gatewayOptions{name: "n1", settings: settings("side_effect")})
+	other, _, err := l.start(switches[2:], gatewayOptions{name: "n1", settings: absenceLine("side_effect")})
 	if err != nil {
 		return false, err
 	}
@@ -78,38 +67,47 @@
 		}
 	}
 	number := 0
-	call := func(every time.Duration, during time.Duration) {
-		for begin := time.Now(); time.Since(begin) < during; number++ {
-			a.setup(numberOf(number), 9*time.Second, number%2)
-			time.Sleep(every)
+	call := func(during time.Duration, clients ...*client) {
+		for begin := time.Now(); time.Since(begin) < during; {
+			for _, c := range clients {
+				c.setup(numberOf(number), 9*time.Second, number/2%2)
+				number++
+			}
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	call(100*time.Millisecond, 5*time.Second)
-	mu.Lock()
-	slowSince = time.Now()
-	mu.Unlock()
+	call(16*time.Second, a, b)
+	if err := g.check(); err != nil {
+		return false, err
+	}
 	if l.trouble {
 		g.signal(syscall.SIGTERM)
 	}
-	call(50*time.Millisecond, 400*time.Millisecond) // a front sends so long
+	call(400*time.Millisecond, a, b) // a front sends so long
 	if l.trouble {
 		select {
-		case <-g.ended: // at the latest SIGKILL: the longest deadline, counted as 3 s, and 0.7 s more
+		case <-g.ended: // SIGKILL at the earliest: the longest deadline, counted as 3 s, and 0.7 s more
 		case <-time.After(3300 * time.Millisecond):
 			g.signal(syscall.SIGKILL)
 		}
 	} else {
 		time.Sleep(3300 * time.Millisecond)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(redialPause + 9*time.Second)
+	if err := other.check(); err != nil {
+		return false, err
+	}
 	return l.judgeRefusals(a, reached, ran, &mu)
 }
 
 func (l *lab) judgeRefusals(c *client, reached map[uint64]bool, ran map[string]int, mu *sync.Mutex) (bool, error) {
 	mu.Lock()
 	defer mu.Unlock()
-	stood, refused, failed, open, broken, twice := 0, 0, 0, 0, 0, 0
+	stood, refused, failed, open, broken, twice, forwarded := 0, 0, 0, 0, 0, 0, 0
 	for _, call := range c.all() {
+		if call.answeredAt.IsZero() && reached[call.id] {
+			forwarded++
+		}
 		switch {
 		case !call.answeredAt.IsZero():
 			stood++
@@ -138,5 +136,8 @@
 	if stood == 0 {
 		return false, errNothingJudged
 	}
+	if l.trouble && forwarded == 0 {
+		return false, errNoDisruption
+	}
 	return broken > 0, nil
 }
--- a/review/standin/spoilt.go
+++ b/review/standin/spoilt.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -24,7 +25,7 @@
 	if err != nil {
 		return false, err
 	}
-	var spoiltAt time.Time
+	var mu sync.Mutex
 	var spoiltConn *switchConn
 	random := rand.New(rand.NewPCG(35, 1))
 	for _, sw := range switches {
@@ -34,10 +35,12 @@
 	begin := time.Now()
 	first := switches[0]
 	first.spoil = func(c *switchConn, call *switchCall, answer []byte) []byte {
-		if !l.trouble || !spoiltAt.IsZero() || time.Since(begin) < 14*time.Second {
+		mu.Lock()
+		defer mu.Unlock()
+		if !l.trouble || spoiltConn != nil || time.Since(begin) < 14*time.Second {
 			return nil
 		}
-		spoiltAt, spoiltConn = time.Now(), c
+		spoiltConn = c
 		spoilt := append([]byte(nil), answer...)
 		binary.BigEndian.PutUint16(spoilt, spoiltLength)
 		l.rec.report("%s conn %d: the answer to %016x has %d bytes and says that %d follow", first.id, c.n, call.id,
@@ -53,12 +56,23 @@
 		return false, err
 	}
 	l.atEnd(c.close)
+	mu.Lock()
 	begin = time.Now()
+	mu.Unlock()
 	for number := 0; time.Since(begin) < 40*time.Second; number++ {
 		c.setup(numberOf(number), 9*time.Second, number%2)
 		time.Sleep(time.Duration(20+random.IntN(40)) * time.Millisecond)
 	}
-	return l.judgeReleases(c, switches, spoiltConn)
+	if err := g.check(); err != nil {
+		return false, err
+	}
+	mu.Lock()
+	conn := spoiltConn
+	mu.Unlock()
+	if l.trouble && conn == nil {
+		return false, errNoDisruption
+	}
+	return l.judgeReleases(c, switches, conn)
 }
 
 // judgeReleases judges the calls that stood and that their switch ended more than releaseLimit ago. It counts those of
--- a/review/standin/switch.go
+++ b/review/standin/switch.go
@@ -13,6 +13,7 @@
 	id     string
 	number int // of the pool
 	addr   string
+	report string // of its load
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -57,10 +58,10 @@
 	open bool
 }
 
-const loadReport = "free:1000;size:1200;busy:0.3;q:1"
+const rosterReport = "free:1000;size:1200;busy:0.3;q:1"
 
 func newSwitch(rec *recorder, id string, number int) (*coreSwitch, error) {
-	s := &coreSwitch{rec: rec, id: id, number: number, calls: map[uint64]*switchCall{}}
+	s := &coreSwitch{rec: rec, id: id, number: number, report: rosterReport, calls: map[uint64]*switchCall{}}
 	s.answerAfter = func(int) time.Duration { return 50 * time.Millisecond }
 	s.holdFor = func(int) time.Duration { return 5 * time.Second }
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -68,14 +69,13 @@
 		return nil, err
 	}
 	s.addr = listener.Addr().String()
-	s.serve(listener)
+	s.listener = listener
 	return s, nil
 }
 
-func (s *coreSwitch) serve(listener net.Listener) {
-	s.mu.Lock()
-	s.listener = listener
-	s.mu.Unlock()
+// serve accepts connections. The fields that a case sets are set before.
+func (s *coreSwitch) serve() {
+	listener := s.listener
 	go func() {
 		for n := 1; ; n++ {
 			conn, err := listener.Accept()
@@ -100,7 +100,7 @@
 // run serves one connection: the state of the group first, then releases that are sent again.
 func (c *switchConn) run() {
 	s := c.sw
-	c.send(encode(typeState, 0, text(parReport, loadReport)))
+	c.send(encode(typeState, 0, text(parReport, s.report)))
 	s.mu.Lock()
 	again := s.again
 	s.again = nil
@@ -187,7 +187,7 @@
 	if givenUp {
 		return
 	}
-	answer := encode(typeAnswer, call.id, text(parText, call.answer), text(parReport, loadReport))
+	answer := encode(typeAnswer, call.id, text(parText, call.answer), text(parReport, s.report))
 	if s.spoil != nil {
 		if spoilt := s.spoil(call.conn, call, answer); spoilt != nil {
 			answer = spoilt
@@ -221,7 +221,7 @@
 		return
 	}
 	s.rec.printf("%s conn %d release %016x", s.id, conn.n, call.id)
-	conn.send(encode(typeRelease, call.id, cause(causeOK), text(parReport, loadReport)))
+	conn.send(encode(typeRelease, call.id, cause(causeOK), text(parReport, s.report)))
 }
 
 // onRelease gives up a set-up or cuts a call that stands.
@@ -257,3 +257,10 @@
 	}
 	return n
 }
+
+// toSendAgain returns how many releases wait for the next connection.
+func (s *coreSwitch) toSendAgain() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.again)
+}
