Metrics: messages that stay incomplete, and releases of unknown calls

New in the line of metrics: connections to endpoints, those with an incomplete message and how long the first has been incomplete (open.), releases of unknown calls and those dropped (connections.).

--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -17,6 +17,8 @@
 	reader  binarymessage.Reader
 	closed  bool
 
+	partialSince float64 // when the first bytes of the incomplete message arrived
+
 	outgoing       []outgoingMessage // not yet handed to the driver
 	outgoingBytes  int
 	written        []outgoingMessage // handed to the driver and not yet sent; without data
@@ -30,9 +32,8 @@
 	openedAt         float64
 	lastUsedAt       float64
 	receivedMessage  bool
-	partialSince     float64 // when the first bytes of the incomplete message arrived
-	pendingCalls     int     // setups without an answer
-	establishedCalls int     // calls whose release would be sent on it
+	pendingCalls     int // setups without an answer
+	establishedCalls int // calls whose release would be sent on it
 
 	// of a connection to an endpoint
 	legs                []*outboundLeg
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -20,6 +20,10 @@
 	Withdrawn          uint64 `json:"withdrawn"`         // setups withdrawn before they were sent
 	UnmatchedAnswers   uint64 `json:"unmatched_answers"` // answers that match no setup of this gateway
 
+	// releases by endpoints of calls that are unknown here
+	UnmatchedReleases        uint64 `json:"unmatched_releases"`
+	UnmatchedReleasesDropped uint64 `json:"unmatched_releases_dropped"` // not kept for a client that resumes the call
+
 	// established calls
 	CallsCut         uint64 `json:"calls_cut"`
 	CallsResumed     uint64 `json:"calls_resumed"`     // taken over from an earlier process
@@ -37,17 +41,32 @@
 	Clients     int `json:"clients"`
 	ClientConns int `json:"client_conns"`
 	Timers      int `json:"timers"`
+
+	// connections to endpoints
+	UpstreamConns     int     `json:"upstream_conns"`
+	IncompleteConns   int     `json:"incomplete_conns"`   // a message of the endpoint has begun there and is incomplete
+	LongestIncomplete float64 `json:"longest_incomplete"` // ms since the first of these messages began
 }
 
 // OpenCounts returns the numbers of objects that the gateway holds now.
 func (g *Gateway) OpenCounts() OpenCounts {
-	return OpenCounts{
+	counts := OpenCounts{
 		Calls:       len(g.calls),
 		Upstreams:   len(g.upstreams),
 		Clients:     len(g.clients),
 		ClientConns: len(g.clientConns),
 		Timers:      g.Timers.Len(),
 	}
+	for _, u := range g.upstreams {
+		counts.UpstreamConns += len(u.conns)
+		for _, conn := range u.conns {
+			if conn.reader.Partial() {
+				counts.IncompleteConns++
+				counts.LongestIncomplete = max(counts.LongestIncomplete, g.Now-conn.partialSince)
+			}
+		}
+	}
+	return counts
 }
 
 // RememberedCounts returns how many ended calls the gateway remembers: those that were canceled, and those that an
--- a/internal/protocol/binarygateway/upstreammessages.go
+++ b/internal/protocol/binarygateway/upstreammessages.go
@@ -111,11 +111,21 @@
 	if reported && complete {
 		g.Router.OnLoadReport(g.Now, u.endpoint, true, true)
 	}
-	if g.calls[id] == nil && len(u.unmatchedReleases) < maxUnmatchedReleases { // its client may still resume it
-		u.unmatchedReleases[id] = unmatchedRelease{cause, g.Now + unmatchedReleaseRetention}
+	if g.calls[id] == nil { // its client may still resume it
+		u.rememberRelease(id, cause)
 	}
 }
 
+func (u *upstream) rememberRelease(id uint64, cause byte) {
+	metrics := &u.gateway.Metrics
+	metrics.UnmatchedReleases++
+	if len(u.unmatchedReleases) >= maxUnmatchedReleases {
+		metrics.UnmatchedReleasesDropped++
+		return
+	}
+	u.unmatchedReleases[id] = unmatchedRelease{cause, u.gateway.Now + unmatchedReleaseRetention}
+}
+
 // onSetupReleased handles the release of a setup that was not answered. If the attempt is being canceled, the cancel
 // reports its end.
 func (u *upstream) onSetupReleased(leg *outboundLeg, message binarymessage.Message, complete bool) {
