Rule 5: the release of a late answer starts the hold-off anew

Trace: the answer of a call is unreadable, its connection is reset, and the call is attempted again at the same endpoint, where it stands. Its release there is taken for the end of the second attempt (hold-off to 1347), the answer to the second attempt follows at 1140 and is released, the third attempt leaves at 1347. The release at 1140 is what ends the second attempt.

upstream.onLateAnswer and outboundLeg.finish (answeredLate) send such a release and left the hold-off as it was. They start it anew now, at the guard and in Call.RetryNotBefore, by which the router waits.

Tests: TestLateAnswerStartsHoldOff (211 ms before, want 500) and TestLateAnswerDuringRejectedAttempt (a third setup at once) fail without the change.

--- a/internal/protocol/binarygateway/call_test.go
+++ b/internal/protocol/binarygateway/call_test.go
@@ -139,6 +139,48 @@
 	g.expectMessage(conn.lastMessage(7), binarymessage.Release, binarymessage.Normal)
 }
 
+// TestLateAnswerStartsHoldOff guards against an attempt within the hold-off after the late answer to an earlier one was
+// released (rule 5): the earlier attempt ends only then.
+func TestLateAnswerStartsHoldOff(t *testing.T) {
+	g := newTestGateway(t)
+	g.policy.attemptOrder, g.policy.retryAfterFailure = []int{0, 1, 1}, true
+	g.deliverSetup(g.acceptClient(), 7)
+	first := g.setupConn(7)
+	g.policy.host.CancelAttempt(g.policy.lastCall.InFlight)
+	g.advance(300)
+	g.deliver(first, binarymessage.Answer, 7, answerDescription)
+	released := g.now
+	if n := first.countMessages(7, binarymessage.Release); n != 2 {
+		t.Fatalf("%d releases were sent, want 2: of the setup and of the late answer", n)
+	}
+	for g.countSetups(7) == 1 && g.now < released+2000 {
+		g.advance(10)
+	}
+	if waited := g.now - released; waited < 500 || waited >= 2000 {
+		t.Errorf("the next attempt was sent %.0f ms after the release of the late answer, want 500 at least", waited)
+	}
+}
+
+// TestLateAnswerDuringRejectedAttempt guards against the same where the late answer is released because a later attempt
+// at the endpoint was rejected: that outcome alone has no hold-off.
+func TestLateAnswerDuringRejectedAttempt(t *testing.T) {
+	g := newTestGateway(t)
+	g.openSecondConn()
+	g.policy.attemptOrder, g.policy.retryAfterFailure = []int{0, 0}, true
+	g.deliverSetup(g.acceptClient(), 7)
+	first := g.setupConn(7)
+	g.policy.host.CancelAttempt(g.policy.lastCall.InFlight)
+	g.advance(600)
+	g.deliver(first, binarymessage.Answer, 7, answerDescription)
+	g.deliver(g.setupConn(7), binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.NoCircuit))
+	g.policy.attemptOrder = []int{1}
+	g.policy.attemptNext(g.policy.lastCall)
+	g.step()
+	if n := g.countSetups(7); n != 2 {
+		t.Errorf("%d setups were sent, want 2: the third is within the hold-off", n)
+	}
+}
+
 // TestTimeoutAfterStall: after a stall of the gateway, a caller's timeout counts from the last batch before the stall.
 func TestTimeoutAfterStall(t *testing.T) {
 	g := newTestGateway(t)
--- a/internal/protocol/binarygateway/outboundleg.go
+++ b/internal/protocol/binarygateway/outboundleg.go
@@ -116,6 +116,7 @@
 	if l.answeredLate {
 		g.Metrics.LateAnswers++
 		l.upstream.sendRelease(call.id, binarymessage.Normal, l.conn)
+		call.StartHoldOff()
 	}
 	call.EndAttempt(attempt, outcome, call.Finished)
 }
--- a/internal/protocol/binarygateway/upstreammessages.go
+++ b/internal/protocol/binarygateway/upstreammessages.go
@@ -83,6 +83,9 @@
 	if canceled || leg != nil && leg.ended {
 		g.Metrics.LateAnswers++
 		conn.send(releaseMessage(id, binarymessage.Normal))
+		if call := g.calls[id]; call != nil && call.Session != nil {
+			call.StartHoldOff()
+		}
 		return
 	}
 	g.Metrics.UnmatchedAnswers++
--- a/internal/protocol/callcontrol/session.go
+++ b/internal/protocol/callcontrol/session.go
@@ -141,8 +141,15 @@
 	}
 	c := s.controller
 	if outcome == routing.TimedOut || outcome == routing.Reset || outcome == routing.Canceled {
-		s.holdOffUntil = c.Now + c.config.Settings.RetryHoldOff
+		s.StartHoldOff()
 	}
 	s.RecordOutcome(attempt, outcome, c.Now-attempt.SentAt, finished || s.Finished)
 	c.Router.OnAttemptEnd(c.Now, attempt, s.Finished)
 }
+
+// StartHoldOff begins the hold-off of rule 5, or begins it anew: an attempt has ended as timed out, reset or canceled, or
+// the late answer to one was released at its endpoint.
+func (s *Session) StartHoldOff() {
+	s.holdOffUntil = s.controller.Now + s.controller.config.Settings.RetryHoldOff
+	s.RetryNotBefore = max(s.RetryNotBefore, s.holdOffUntil)
+}
