Endpoint connections: close one with an incomplete message, reopen after a loss

Cause: the reader takes all that follows for a part of the long message, and nothing limits its time: liveness.Assess sees the endpoint as a whole, which other connections keep alive. Evidence: one connection incomplete for 5,972 and then 15,975 ms, no connection lost, no dial, no release dropped. A second part shows when the connection is closed: the endpoint repeats its releases on the next connection that is opened, and none was while another one was up. That holds for noise and resets as well.

Change: liveness.IsStreamBroken closes a connection whose message has been incomplete for 500 ms, also if bytes go on arriving. After an end with messages that may be unread, upstream.maintainConns opens another while calls stand there, unless one was dialed since; a connection closed in order between two messages lacks nothing and is not replaced.

Why it works: 500 ms, a check each 250 ms and a handshake fit into the second in which a release is due. At a higher rate the long message is complete sooner and ends as noise: the second part.

Tests: TestIncompleteMessage, TestConnOpenedAfterLoss, TestConnDialedBeforeLoss, TestReleasesAfterWrongLength; the virtual runs have the fault and endpoints that repeat releases.

--- a/internal/conformance/binaryconformance/checker.go
+++ b/internal/conformance/binaryconformance/checker.go
@@ -57,6 +57,7 @@
 	attempts     []*attempt
 	holdOffUntil float64
 	endedAt      float64 // when the established call ended, +Inf: it has not ended or was never established
+	unreadable   bool    // the switch's release can't be read, and it has not repeated the release
 	released     bool    // released towards the caller, or by it
 	established  bool
 }
@@ -239,12 +240,26 @@
 			default:
 				c.holdOffUntil = at + k.Rules.HoldOff
 			}
-		case c.established && c.attempts[len(c.attempts)-1].endpoint == endpoint && c.endedAt > at:
-			c.endedAt = at
+		case c.isEstablishedAt(endpoint):
+			c.endedAt = math.Min(c.endedAt, at)
+			c.unreadable = false
 		}
 	}
 }
 
+// OnUnreadableRelease reports a release that a switch sent and that the gateway can't read, because a message before it
+// had a wrong length. The switch repeats it on the next connection that the gateway opens.
+func (k *Checker) OnUnreadableRelease(at float64, endpoint string, callID uint64) {
+	k.now = at
+	if c := k.calls[callID]; c != nil && c.isEstablishedAt(endpoint) && c.endedAt > at {
+		c.endedAt, c.unreadable = at, true
+	}
+}
+
+func (c *call) isEstablishedAt(endpoint string) bool {
+	return c.established && c.attempts[len(c.attempts)-1].endpoint == endpoint
+}
+
 // OnConnClosed reports that either side closed a connection to a switch; its attempts have ended too.
 func (k *Checker) OnConnClosed(at float64, endpoint string, conn int) {
 	k.now = at
@@ -256,11 +271,13 @@
 	}
 }
 
-// OnEndpointDied reports that a switch ended without any message; its calls have ended too.
+// OnEndpointDied reports that a switch ended without any message; its calls have ended too. An unreadable release can't
+// be repeated any more, so it counts as not sent.
 func (k *Checker) OnEndpointDied(at float64, endpoint string) {
 	for _, c := range k.calls {
-		if c.established && c.attempts[len(c.attempts)-1].endpoint == endpoint && c.endedAt > at {
-			c.endedAt = at + k.Rules.ReleaseWithinSilent - k.Rules.ReleaseWithin
+		if c.isEstablishedAt(endpoint) && (c.endedAt > at || c.unreadable) {
+			c.endedAt = math.Min(c.endedAt, at) + k.Rules.ReleaseWithinSilent - k.Rules.ReleaseWithin
+			c.unreadable = false
 		}
 	}
 }
--- a/internal/decision/liveness/liveness.go
+++ b/internal/decision/liveness/liveness.go
@@ -1,6 +1,7 @@
-// Package liveness decides when an endpoint that has calls but sends no messages is considered dead. It guards
-// against machines that disappear without closing their connections: nothing would ever report the end of their
-// calls.
+// Package liveness decides when an endpoint that has calls but sends no messages is considered dead, and when one
+// connection to an endpoint is no longer usable. It guards against machines that disappear without closing their
+// connections, and against streams that have lost their message boundaries: nothing would ever report the end of
+// their calls.
 package liveness
 
 //tally:decisions
@@ -20,6 +21,9 @@
 	deadAfter         = 4000.0 // ms without a message, together with deadAfterDials
 	deadAfterDials    = 2      // unanswered attempts to connect since then
 	disconnectedLimit = 6500.0 // ms without a connection: the release of a call must reach its caller within 8 s
+	// incompleteLimit is the time, in ms, after which an incomplete message makes its connection unusable. A release
+	// behind it must reach its caller within 1 s, on another connection.
+	incompleteLimit = 500.0
 )
 
 // Assess assesses an endpoint with calls that sent no message for silentFor ms, to which no connection has been up
@@ -35,3 +39,8 @@
 	}
 	return Alive
 }
+
+// IsStreamBroken reports whether a connection to an endpoint must be closed because a message on it has been incomplete
+// for this many ms. An endpoint writes a message at once, so its length field is wrong, and everything that follows is
+// taken for a part of it. Further bytes do not restart the time: they may be other messages.
+func IsStreamBroken(incompleteFor float64) bool { return incompleteFor > incompleteLimit }
--- a/internal/decision/liveness/liveness_test.go
+++ b/internal/decision/liveness/liveness_test.go
@@ -17,3 +17,14 @@
 		}
 	}
 }
+
+// TestIsStreamBroken guards against waiting for the rest of a message that never comes: closing the connection, a check
+// each 250 ms and a new connection must fit into the second in which a release is due.
+func TestIsStreamBroken(t *testing.T) {
+	if IsStreamBroken(300) {
+		t.Error("broken after 300 ms: the retransmission of one segment may take as long")
+	}
+	if !IsStreamBroken(600) {
+		t.Error("not broken after 600 ms")
+	}
+}
--- a/internal/emulator/binarystandin/conn.go
+++ b/internal/emulator/binarystandin/conn.go
@@ -1,6 +1,7 @@
 package binarystandin
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"slices"
 
@@ -17,20 +18,35 @@
 	reader       binarymessage.Reader
 	pendingCalls []uint64 // on a client's connection: ids of calls for which no message from the gateway has arrived yet
 	closed       bool
+	wrongLength  bool   // the gateway can no longer tell where the messages on it begin
 	delayedWrite []byte // the latest write that was delayed, until it is delivered; not read so far
 }
 
 // send sends a message to the gateway, in pieces if Faults.Fragmented is set.
 func (c *conn) send(kind byte, id uint64, params ...binarymessage.Param) {
 	b := binarymessage.Append(nil, kind, id, params...)
-	if c.endpoint == nil {
+	switch {
+	case c.endpoint == nil:
 		c.sim.Checker.OnClientMessage(c.sim.now, b)
-	} else {
+	case c.wrongLength:
+		if kind == binarymessage.Release {
+			c.sim.Checker.OnUnreadableRelease(c.sim.now, c.endpoint.id, id)
+		}
+	default:
 		c.sim.Checker.OnEndpointMessage(c.sim.now, c.endpoint.id, c.connNumber, b)
 	}
 	c.sendRaw(b)
 }
 
+// sendWrongLength sends a message with a length field that is too large: the gateway takes what follows for a part of
+// the message.
+func (c *conn) sendWrongLength(message []byte) {
+	length := len(message) + int(c.sim.Random()*float64(binarymessage.MaxLength-len(message)))
+	binary.BigEndian.PutUint16(message, uint16(length))
+	c.wrongLength = true
+	c.sendRaw(message)
+}
+
 func (c *conn) sendRaw(b []byte) {
 	sim := c.sim
 	for len(b) > 0 && !c.closed {
@@ -137,10 +153,7 @@
 			c.closed = true
 			sim.Gateway.OnClosed(sim.now, gatewayConn, binarygateway.ClosedRefused)
 		default:
-			c.endpoint = endpoint
-			endpoint.conns = append(endpoint.conns, c)
-			sim.Gateway.OnConnected(sim.now, gatewayConn)
-			c.send(binarymessage.LoadState, 0, binarymessage.TextParam(binarymessage.LoadReport, "free:20;size:40;busy:-1;q:-1"))
+			endpoint.onConnected(c)
 		}
 	})
 }
--- a/internal/emulator/binarystandin/endpoint.go
+++ b/internal/emulator/binarystandin/endpoint.go
@@ -20,8 +20,47 @@
 	conns       []*conn
 	established map[uint64]bool  // by call id
 	pending     map[uint64]*conn // connection of each setup without an answer, by call id
+	repeated    []release        // releases since the latest connection was opened: sent again on the next one
 }
 
+// release is the release of a call that has ended at the endpoint.
+type release struct {
+	callID uint64
+	cause  byte
+}
+
+// onConnected opens a connection: the endpoint reports its load and repeats the releases.
+func (e *Endpoint) onConnected(c *conn) {
+	c.endpoint = e
+	e.conns = append(e.conns, c)
+	e.sim.Gateway.OnConnected(e.sim.now, c.gatewayConn)
+	c.send(binarymessage.LoadState, 0, binarymessage.TextParam(binarymessage.LoadReport, "free:20;size:40;busy:-1;q:-1"))
+	repeated := e.repeated
+	e.repeated = nil
+	for _, r := range repeated {
+		c.send(binarymessage.Release, r.callID, binarymessage.CauseParam(r.cause))
+	}
+}
+
+// endCall releases an established call: on the connection of its setup, or else on any open one, and again on the next
+// connection that is opened.
+func (e *Endpoint) endCall(c *conn, r release) {
+	if !e.established[r.callID] || e.crashed || e.unreachable {
+		return
+	}
+	delete(e.established, r.callID)
+	e.repeated = append(e.repeated, r)
+	if c.closed && len(e.conns) > 0 {
+		c = e.conns[0]
+	}
+	if !c.closed {
+		c.send(binarymessage.Release, r.callID, binarymessage.CauseParam(r.cause), fullReport)
+	}
+}
+
+// fullReport is the load report in answers and releases.
+var fullReport = binarymessage.TextParam(binarymessage.LoadReport, "free:20;size:40;busy:0.4;q:1")
+
 // crash ends the endpoint's process: its connections are reset and its calls are lost.
 func (e *Endpoint) crash() {
 	if e.crashed {
@@ -65,7 +104,6 @@
 	if c.closed || e.unreachable || e.crashed || e.pending[id] != c && !late {
 		return
 	}
-	report := binarymessage.TextParam(binarymessage.LoadReport, "free:20;size:40;busy:0.4;q:1")
 	switch {
 	case sim.happens(faults.Reset):
 		c.reset()
@@ -82,42 +120,39 @@
 			binarymessage.CauseParam(binarymessage.NoCircuit),
 			binarymessage.TextParam(binarymessage.Note, "cpu_full"),
 			binarymessage.TextParam(binarymessage.QueueDelay, "50"),
-			report,
+			fullReport,
 		)
 		return
 	case sim.happens(faults.Failed):
 		delete(e.pending, id)
-		c.send(binarymessage.Release, id, binarymessage.CauseParam(binarymessage.Fault), report)
+		c.send(binarymessage.Release, id, binarymessage.CauseParam(binarymessage.Fault), fullReport)
 		return
 	}
 	if sim.happens(faults.Unsolicited) {
-		c.send(binarymessage.Answer, id^0xffff, binarymessage.TextParam(binarymessage.Description, "another's"), report)
+		c.send(binarymessage.Answer, id^0xffff, binarymessage.TextParam(binarymessage.Description, "another's"), fullReport)
 	}
 	delete(e.pending, id)
 	e.established[id] = true
-	times := 1
-	if sim.happens(faults.Duplicate) {
-		times = 2
-	}
-	for range times {
-		c.send(binarymessage.Answer, id, binarymessage.TextParam(binarymessage.Description, "answer"), report)
-	}
+	e.sendAnswer(c, id)
 	sim.after(sim.HoldingTime*(0.5+sim.Random()), func() {
-		if !e.established[id] || e.crashed || e.unreachable {
-			return
-		}
-		delete(e.established, id)
 		cause := byte(binarymessage.Normal)
 		if sim.happens(faults.Cut) {
 			cause = binarymessage.Failure
 		}
-		releaseConn := c
-		if releaseConn.closed {
-			if len(e.conns) == 0 {
-				return
-			}
-			releaseConn = e.conns[0]
-		}
-		releaseConn.send(binarymessage.Release, id, binarymessage.CauseParam(cause), report)
+		e.endCall(c, release{id, cause})
 	})
 }
+
+// sendAnswer sends the answer that a call is established, once or with a fault.
+func (e *Endpoint) sendAnswer(c *conn, id uint64) {
+	sim := c.sim
+	description := binarymessage.TextParam(binarymessage.Description, "answer")
+	if sim.happens(sim.Faults.WrongLength) {
+		c.sendWrongLength(binarymessage.Append(nil, binarymessage.Answer, id, description, fullReport))
+		return
+	}
+	c.send(binarymessage.Answer, id, description, fullReport)
+	if sim.happens(sim.Faults.Duplicate) {
+		c.send(binarymessage.Answer, id, description, fullReport)
+	}
+}
--- a/internal/emulator/binarystandin/simulation.go
+++ b/internal/emulator/binarystandin/simulation.go
@@ -22,6 +22,7 @@
 // Faults are the rates of faults: shares from 0 to 1 or, where it says so, events a second for each endpoint.
 type Faults struct {
 	Malformed     float64 // answers replaced by invalid bytes
+	WrongLength   float64 // answers with a length field that is too large
 	Late          float64 // answers sent after the attempt has timed out
 	Unanswered    float64 // setups that get no answer
 	Duplicate     float64 // answers sent twice
--- a/internal/protocol/binarygateway/call_test.go
+++ b/internal/protocol/binarygateway/call_test.go
@@ -153,7 +153,7 @@
 	if n := first.countMessages(7, binarymessage.Release); n != 2 {
 		t.Fatalf("%d releases were sent, want 2: of the setup and of the late answer", n)
 	}
-	for g.countSetups(7) == 1 && g.now < released+2000 {
+	for g.countSetups() == 1 && g.now < released+2000 {
 		g.advance(10)
 	}
 	if waited := g.now - released; waited < 500 || waited >= 2000 {
@@ -176,7 +176,7 @@
 	g.policy.attemptOrder = []int{1}
 	g.policy.attemptNext(g.policy.lastCall)
 	g.step()
-	if n := g.countSetups(7); n != 2 {
+	if n := g.countSetups(); n != 2 {
 		t.Errorf("%d setups were sent, want 2: the third is within the hold-off", n)
 	}
 }
--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -354,14 +354,14 @@
 				g.policy.attemptOrder, g.policy.retryAfterFailure = []int{0, 1, 0, 1}, true
 				g.client = g.acceptClient()
 				wait(g)
-				before := g.countSetups(7)
+				before := g.countSetups()
 				g.callerLeaves(closes)
 				g.holdDials = false
 				for _, conn := range g.dialed {
 					conn.gatewayConn.writePending = false
 				}
 				g.advance(3000)
-				if after := g.countSetups(7); after != before {
+				if after := g.countSetups(); after != before {
 					t.Errorf("%d attempts before the caller left, %d after; want no further ones", before, after)
 				}
 				if calls := g.gateway.OpenCounts().Calls; calls != 0 || g.client.lastMessage(7) != nil {
@@ -404,10 +404,10 @@
 	g.gateway.OnData(g.now, g.client.gatewayConn, releaseMessage(7, binarymessage.Normal))
 }
 
-// countSetups returns how many setups of a call were sent to endpoints.
-func (g *testGateway) countSetups(call uint64) (n int) {
+// countSetups returns how many setups of call 7 were sent to endpoints.
+func (g *testGateway) countSetups() (n int) {
 	for _, conn := range g.dialed {
-		n += conn.countMessages(call, binarymessage.Setup)
+		n += conn.countMessages(7, binarymessage.Setup)
 	}
 	return n
 }
--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -37,6 +37,7 @@
 
 	// of a connection to an endpoint
 	legs                []*outboundLeg
+	dialNumber          uint64 // counted from 1 over all dials of the upstream
 	connected           bool
 	endpointSentMessage bool // the endpoint has sent a message on it
 	retired             bool // it takes no more setups
@@ -53,9 +54,10 @@
 
 // Reasons for the end of a connection.
 const (
-	ClosedNormally CloseReason = iota // closed by either side, or the dial was given up
+	ClosedNormally CloseReason = iota // closed in order by the peer, which had sent everything, or the dial failed
 	ClosedRefused                     // the dial was refused: no process listens on the port
 	ClosedReset
+	ClosedLocally // closed by this gateway, or its dial was given up
 )
 
 // outgoingMessage is a message that is queued on a connection or handed to its driver.
@@ -182,7 +184,7 @@
 		c.flush()
 	}
 	c.gateway.transport.Close(c)
-	c.terminate(ClosedNormally)
+	c.terminate(ClosedLocally)
 }
 
 // abort closes the connection without writing queued messages.
@@ -191,7 +193,7 @@
 		return
 	}
 	c.gateway.transport.Close(c)
-	c.terminate(ClosedNormally)
+	c.terminate(ClosedLocally)
 }
 
 // terminate ends a connection. Setups that were not sent end as not sent, and the callbacks of lost messages are
@@ -328,6 +330,11 @@
 	conn.scheduleFlush()
 }
 
+// mayHaveUnreadMessages reports whether the peer may have sent messages that were not read when the connection ended.
+func (c *Conn) mayHaveUnreadMessages(reason CloseReason) bool {
+	return c.connected && (reason != ClosedNormally || c.reader.Partial())
+}
+
 // OnClosed reports that the peer closed a connection, or that a dial failed.
 func (g *Gateway) OnClosed(now float64, conn *Conn, reason CloseReason) {
 	g.Now = now
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -15,10 +15,11 @@
 	Connected          uint64 `json:"connected"`
 	ConnectionsRefused uint64 `json:"connections_refused"`
 	ConnectTimeouts    uint64 `json:"connect_timeouts"`
-	ConnectionsLost    uint64 `json:"connections_lost"`  // lost after they were established
-	ProtocolErrors     uint64 `json:"protocol_errors"`   // messages that could not be decoded or used
-	Withdrawn          uint64 `json:"withdrawn"`         // setups withdrawn before they were sent
-	UnmatchedAnswers   uint64 `json:"unmatched_answers"` // answers that match no setup of this gateway
+	ConnectionsLost    uint64 `json:"connections_lost"`    // lost after they were established
+	ProtocolErrors     uint64 `json:"protocol_errors"`     // messages that could not be decoded or used
+	IncompleteMessages uint64 `json:"incomplete_messages"` // connections closed because a message remained incomplete
+	Withdrawn          uint64 `json:"withdrawn"`           // setups withdrawn before they were sent
+	UnmatchedAnswers   uint64 `json:"unmatched_answers"`   // answers that match no setup of this gateway
 
 	// releases by endpoints of calls that are unknown here
 	UnmatchedReleases        uint64 `json:"unmatched_releases"`
--- a/internal/protocol/binarygateway/simulation_test.go
+++ b/internal/protocol/binarygateway/simulation_test.go
@@ -78,6 +78,7 @@
 		simulation := newSimulation(rapid.Uint64().Draw(t, "seed"), newRouter, 0)
 		simulation.Faults = binarystandin.Faults{
 			Malformed:     faultProbability(t, "malformed", 0.1),
+			WrongLength:   faultProbability(t, "wrong length", 0.05),
 			Late:          faultProbability(t, "late", 0.2),
 			Unanswered:    faultProbability(t, "unanswered", 0.2),
 			Duplicate:     faultProbability(t, "duplicate", 0.3),
@@ -108,6 +109,27 @@
 	})
 }
 
+// TestReleasesAfterWrongLength guards against calls that are never released towards their callers: the length field of
+// an answer is too large, and the releases that follow on that connection are taken for a part of it.
+func TestReleasesAfterWrongLength(t *testing.T) {
+	for seed := range uint64(6) {
+		simulation := newSimulation(seed, newRouter, 0)
+		simulation.Rate = 10 * float64(1+seed)
+		simulation.HoldingTime = 4000
+		simulation.Faults = binarystandin.Faults{WrongLength: 0.01}
+		simulation.StopAt = 20000
+		simulation.Run(40000)
+		if simulation.Gateway.Metrics.IncompleteMessages == 0 {
+			t.Errorf("seed %d: no connection was closed for an incomplete message, want some", seed)
+		}
+		for i, f := range simulation.Checker.Findings {
+			if i < 3 {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+	}
+}
+
 // ruleBreakingPolicy breaks all rules: it starts attempts at random endpoints at random times, and answers late or
 // never.
 type ruleBreakingPolicy struct {
--- a/internal/protocol/binarygateway/upstream.go
+++ b/internal/protocol/binarygateway/upstream.go
@@ -29,12 +29,16 @@
 	address     netip.AddrPort
 	startedAt   float64 // the endpoint's latest known start
 	conns       []*Conn
+	dials       uint64         // so far
 	nextConn    uint64         // rotates among equally used connections
 	waitingLegs []*outboundLeg // setups that wait for a connection
 
 	established       map[uint64]*call
 	canceled          map[uint64]float64          // expiry times of canceled setups whose answer may still come
 	unmatchedReleases map[uint64]unmatchedRelease // releases of calls that are unknown here
+	// unreadUntilDial is the number of dials at the time when a connection ended on which the endpoint may have sent
+	// messages that were not read. It repeats releases on the next connection that is opened. 0: that was opened since.
+	unreadUntilDial uint64
 
 	// liveness and reconnection
 	lastMessageAt   float64
@@ -92,6 +96,15 @@
 		(u.failedDials == 0 || len(u.conns) == 0) {
 		u.dial()
 	}
+	if u.needsRepeatedReleases() {
+		u.scheduleReconnect()
+	}
+}
+
+// needsRepeatedReleases reports whether a new connection must be opened because a release of an established call may
+// have been lost with an earlier one.
+func (u *upstream) needsRepeatedReleases() bool {
+	return u.unreadUntilDial > 0 && len(u.established) > 0
 }
 
 // mayReconnect reports whether the backoff allows a dial for which no setup waits.
@@ -100,7 +113,8 @@
 // dial opens another connection.
 func (u *upstream) dial() *Conn {
 	g := u.gateway
-	conn := &Conn{gateway: g, peer: u}
+	u.dials++
+	conn := &Conn{gateway: g, peer: u, dialNumber: u.dials}
 	u.conns = append(u.conns, conn)
 	g.Metrics.Dialed++
 	g.Timers.Schedule(g.Now+u.connectTimeout(), func() {
@@ -127,6 +141,9 @@
 	conn.connected = true
 	u.gateway.Metrics.Connected++
 	u.lastConnReset = false
+	if conn.dialNumber > u.unreadUntilDial {
+		u.unreadUntilDial = 0
+	}
 	waiting := u.waitingLegs
 	u.waitingLegs = nil
 	for _, leg := range waiting {
@@ -231,6 +248,9 @@
 func (u *upstream) onConnLost(conn *Conn, reason CloseReason) {
 	u.gateway.Metrics.ConnectionsLost++
 	u.lastConnReset = reason == ClosedReset
+	if conn.mayHaveUnreadMessages(reason) {
+		u.unreadUntilDial = u.dials
+	}
 	if conn.endpointSentMessage {
 		u.disconnectedAt = u.gateway.Now
 	} else { // accepted without any message: the endpoint does not work
@@ -282,16 +302,34 @@
 	}
 	u.reconnectTimer = g.Timers.Schedule(math.Max(g.Now, u.retryAt), func() {
 		u.reconnectTimer = nil
-		needed := u.endpoint.State == routing.Ready || len(u.established) > 0
-		if g.upstreams[u.endpoint] == u && len(u.conns) == 0 && needed {
-			u.dial()
+		if g.upstreams[u.endpoint] == u {
+			u.reconnect()
 		}
 	})
 }
 
-// checkLiveness handles an endpoint that has become silent, and drops expired state.
+// reconnect dials if the endpoint has no connection, or needs another one to repeat releases on.
+func (u *upstream) reconnect() {
+	if len(u.conns) == 0 {
+		if u.endpoint.State == routing.Ready || len(u.established) > 0 {
+			u.dial()
+		}
+		return
+	}
+	if !u.needsRepeatedReleases() || u.isDialing() {
+		return
+	}
+	u.freeConnSlot()
+	if len(u.conns) < u.gateway.connsPerEndpoint() {
+		u.dial()
+	}
+}
+
+// checkLiveness handles connections that are no longer usable and an endpoint that has become silent, and drops expired
+// state.
 func (u *upstream) checkLiveness() {
 	u.dropExpired()
+	u.closeBrokenStreams()
 	if u.isBusy() {
 		switch liveness.Assess(u.silence()) {
 		case liveness.Dead:
@@ -309,6 +347,17 @@
 	u.maintainConns()
 }
 
+// closeBrokenStreams closes the connections whose message boundaries are lost.
+func (u *upstream) closeBrokenStreams() {
+	g := u.gateway
+	for _, conn := range slices.Clone(u.conns) {
+		if conn.reader.Partial() && liveness.IsStreamBroken(g.Now-conn.partialSince) {
+			g.Metrics.IncompleteMessages++
+			conn.abort()
+		}
+	}
+}
+
 func (u *upstream) dropExpired() {
 	now := u.gateway.Now
 	for id, expiresAt := range u.canceled {
--- a/internal/protocol/binarygateway/upstream_test.go
+++ b/internal/protocol/binarygateway/upstream_test.go
@@ -1,6 +1,7 @@
 package binarygateway
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"slices"
 	"testing"
@@ -98,6 +99,122 @@
 	g.step()
 }
 
+// connsAfter returns the connections to the first endpoint that were dialed after the first n dials of the gateway.
+func (g *testGateway) connsAfter(n int) (conns []*testConn) {
+	for _, conn := range g.dialed[n:] {
+		if conn.address == addrA {
+			conns = append(conns, conn)
+		}
+	}
+	return conns
+}
+
+// TestIncompleteMessage guards against a connection that is kept for good after a wrong length field: it is closed
+// after half a second, although further bytes arrive, its setup ends as reset, and the release that was lost there is
+// received on a new connection within a second, although another connection is open.
+func TestIncompleteMessage(t *testing.T) {
+	g := newTestGateway(t)
+	g.openSecondConn()
+	caller := g.acceptClient()
+	broken := g.establish(caller, 7)
+	g.policy.attemptOrder = []int{0, 0}
+	g.deliverSetup(caller, 8)
+	g.deliverSetup(caller, 9)
+	pending := uint64(8)
+	if g.setupConn(8) != broken {
+		pending = 9
+	}
+	if g.setupConn(pending) != broken {
+		t.Fatal("neither setup was sent on the connection of the established call")
+	}
+	g.policy.events = nil
+	dialedBefore := len(g.dialed)
+	answer := binarymessage.Append(nil, binarymessage.Answer, pending, answerDescription)
+	binary.BigEndian.PutUint16(answer, 16000)
+	g.gateway.OnData(g.now, broken.gatewayConn, answer)
+	g.advance(200)
+	g.deliver(broken, binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Normal))
+	g.advance(200)
+	if broken.closed {
+		t.Error("the connection was closed 400 ms after the message began")
+	}
+	g.advance(500)
+	if !broken.closed {
+		t.Error("the connection with the incomplete message was not closed after 900 ms")
+	}
+	if want := "ended outcome=5 finished=false atCapacity=false numberBusy=false retryAfter=0"; !slices.Contains(
+		g.policy.events, want) {
+		t.Errorf("the policy got %q, want %q", g.policy.events, want)
+	}
+	repeated := g.connsAfter(dialedBefore)
+	if len(repeated) != 1 {
+		t.Fatalf("%d connections were opened after the loss, want 1", len(repeated))
+	}
+	g.deliver(repeated[0], binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Normal))
+	g.expectMessage(caller.lastMessage(7), binarymessage.Release, binarymessage.Normal)
+}
+
+// TestConnOpenedAfterLoss guards against releases that are lost unread with one of several connections: another one is
+// opened, on which the endpoint repeats them. Nothing can be lost where the endpoint closed the connection in order, or
+// where no call is established.
+func TestConnOpenedAfterLoss(t *testing.T) {
+	reset := func(g *testGateway, conn *testConn) { g.gateway.OnClosed(g.now, conn.gatewayConn, ClosedReset) }
+	closed := func(g *testGateway, conn *testConn) { g.gateway.OnClosed(g.now, conn.gatewayConn, ClosedNormally) }
+	cutOff := func(g *testGateway, conn *testConn) {
+		g.gateway.OnData(g.now, conn.gatewayConn, []byte{0, 40, binarymessage.Answer})
+		closed(g, conn)
+	}
+	malformed := func(g *testGateway, conn *testConn) { g.gateway.OnData(g.now, conn.gatewayConn, []byte{0xff, 0xff}) }
+	for _, c := range []struct {
+		name        string
+		established bool
+		lose        func(*testGateway, *testConn)
+		want        int // connections opened
+	}{
+		{"reset", true, reset, 1},
+		{"closed in a message", true, cutOff, 1},
+		{"malformed message", true, malformed, 1},
+		{"closed in order", true, closed, 0},
+		{"reset without a call", false, reset, 0},
+	} {
+		g := newTestGateway(t)
+		g.openSecondConn()
+		if c.established {
+			g.establish(g.acceptClient(), 7)
+		}
+		before := len(g.dialed)
+		c.lose(g, g.connsTo(addrA)[0])
+		g.advance(600)
+		if n := len(g.connsAfter(before)); n != c.want {
+			t.Errorf("%s: %d connections were opened, want %d", c.name, n, c.want)
+		}
+	}
+}
+
+// TestConnDialedBeforeLoss guards against a dial that was made before the loss and counts as the new connection: the
+// endpoint may have repeated its releases there before it sent the one that was lost.
+func TestConnDialedBeforeLoss(t *testing.T) {
+	g := newTestGateway(t)
+	g.openSecondConn()
+	caller := g.acceptClient()
+	g.establish(caller, 7)
+	g.holdDials = true
+	g.policy.attemptOrder = []int{0, 0, 0}
+	for id := range uint64(3) {
+		g.deliverSetup(caller, 20+id)
+	}
+	if n := len(g.connsTo(addrA)); n != 3 {
+		t.Fatalf("%d connections are open or dialed, want 3", n)
+	}
+	before := len(g.dialed)
+	g.gateway.OnClosed(g.now, g.connsTo(addrA)[0].gatewayConn, ClosedReset)
+	g.holdDials = false
+	g.advance(600)
+	if n := len(g.connsAfter(before)); n != 1 {
+		t.Errorf("%d connections were opened after the loss, want 1", n)
+	}
+}
+
 // TestEndpointProcessDies: connections that are reset, followed by a refused dial, show that the endpoint's process
 // has died. The calls there are released to their callers at once.
 func TestEndpointProcessDies(t *testing.T) {
--- a/internal/protocol/callcontrol/session.go
+++ b/internal/protocol/callcontrol/session.go
@@ -147,8 +147,8 @@
 	c.Router.OnAttemptEnd(c.Now, attempt, s.Finished)
 }
 
-// StartHoldOff begins the hold-off of rule 5, or begins it anew: an attempt has ended as timed out, reset or canceled, or
-// the late answer to one was released at its endpoint.
+// StartHoldOff begins the hold-off of rule 5, or begins it anew: an attempt has ended as timed out, reset or canceled,
+// or the late answer to one was released at its endpoint.
 func (s *Session) StartHoldOff() {
 	s.holdOffUntil = s.controller.Now + s.controller.config.Settings.RetryHoldOff
 	s.RetryNotBefore = max(s.RetryNotBefore, s.holdOffUntil)
