Endpoint releases: lost setups are released, and no release is lost unsent

Trace: an answer is unreadable, its connection is reset, and its call, which stands at the endpoint, is attempted there again. The end of the first call arrives as a release under that ID while the second setup is still in a blocked write; it is taken for its refusal, the caller is answered, and then the setup leaves. So the cause is the call that is left standing under an ID that is used again.

Change: a setup that was sent on a connection which ended is released at the endpoint on another connection, and its attempt ends when that was sent, so that no later attempt overtakes it (a first form that did not wait was found at once: its release cut the next attempt). Without another connection the attempt ends at once and the release goes ahead of all setups on the next. For this a release towards an endpoint waits for a connection (before: it was queued on a dial that could fail) and is sent again when it was lost unsent, also one of a caller.

--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -65,16 +65,12 @@
 	data   []byte
 	leg    *outboundLeg // the leg whose setup this is; nil if it isn't a setup
 	onSent func()       // called once the message has been sent; may be nil
-	// onLost is called instead of onSent if the connection ends first. If it is nil, onSent is called: for the
-	// release of a canceled setup, the end of the connection has the same effect as the release.
-	onLost func()
+	onLost func()       // called instead of onSent if the connection ends first; may be nil
 }
 
 func (m *outgoingMessage) connLost() {
 	if m.onLost != nil {
 		m.onLost()
-	} else if m.onSent != nil {
-		m.onSent()
 	}
 }
 
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -33,6 +33,10 @@
 	LateAnswers      uint64 `json:"late_answers"`      // answers that crossed a cancel
 	EndpointsDead    uint64 `json:"endpoints_dead"`
 	ReleasesByCaller uint64 `json:"releases_by_caller"`
+
+	// releases towards endpoints that had to wait for a connection, and those of them that were dropped
+	EndpointReleasesDeferred uint64 `json:"endpoint_releases_deferred"`
+	EndpointReleasesDropped  uint64 `json:"endpoint_releases_dropped"`
 }
 
 // OpenCounts are the numbers of objects that a gateway holds.
--- a/internal/protocol/binarygateway/outboundleg.go
+++ b/internal/protocol/binarygateway/outboundleg.go
@@ -68,13 +68,36 @@
 		g.Timers.Schedule(g.Now, func() { l.finish(routing.NotSent) })
 		return
 	}
-	l.upstream.canceled[l.call.id] = g.Now + lateAnswerRetention
-	l.conn.enqueue(outgoingMessage{
+	l.releaseSetup(l.conn, outcome)
+}
+
+// releaseSetup releases the setup at the endpoint on the given connection. The leg ends with the given outcome once the
+// release has been sent: no later attempt of the call may overtake it.
+func (l *outboundLeg) releaseSetup(conn *Conn, outcome routing.Outcome) {
+	u, g := l.upstream, l.upstream.gateway
+	u.expectLateAnswer(l.call.id)
+	finish := func() { g.Timers.Schedule(g.Now, func() { l.finish(outcome) }) }
+	conn.enqueue(outgoingMessage{
 		data:   releaseMessage(l.call.id, binarymessage.Normal),
-		onSent: func() { g.Timers.Schedule(g.Now, func() { l.finish(outcome) }) },
+		onSent: finish,
+		onLost: func() { l.releaseLostSetup(outcome) },
 	})
 }
 
+// releaseLostSetup releases a setup whose connection has ended: an answer to it may have been lost unread, and the call
+// would remain established at the endpoint under the ID of the next attempt. If no other connection accepts writes, the
+// release waits for the next one, but the leg ends at once.
+func (l *outboundLeg) releaseLostSetup(outcome routing.Outcome) {
+	u, g := l.upstream, l.upstream.gateway
+	if conn := u.anyConn(); conn != nil && !conn.writePending {
+		l.releaseSetup(conn, outcome)
+		return
+	}
+	u.expectLateAnswer(l.call.id)
+	u.deferRelease(u.newRelease(l.call.id, binarymessage.Normal))
+	g.Timers.Schedule(g.Now, func() { l.finish(outcome) })
+}
+
 // withdraw removes the setup from its queue. It returns false if the setup was already sent.
 func (l *outboundLeg) withdraw() bool {
 	if l.conn != nil {
@@ -91,12 +114,11 @@
 	}
 	g := l.upstream.gateway
 	l.ended = true
-	outcome := routing.NotSent
 	if l.sent {
-		outcome = routing.Reset
-		l.upstream.canceled[l.call.id] = g.Now + lateAnswerRetention
+		l.releaseLostSetup(routing.Reset)
+		return
 	}
-	g.Timers.Schedule(g.Now, func() { l.finish(outcome) })
+	g.Timers.Schedule(g.Now, func() { l.finish(routing.NotSent) })
 }
 
 // finish reports the outcome of the attempt. Only the first call has an effect.
@@ -114,9 +136,7 @@
 		call.leg = nil
 	}
 	if l.answeredLate {
-		g.Metrics.LateAnswers++
-		l.upstream.sendRelease(call.id, binarymessage.Normal, l.conn)
-		call.StartHoldOff()
+		l.upstream.releaseLateAnswer(call.id, l.conn)
 	}
 	call.EndAttempt(attempt, outcome, call.Finished)
 }
--- a/internal/protocol/binarygateway/upstream.go
+++ b/internal/protocol/binarygateway/upstream.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"slices"
 
-	"cobaltpier/internal/decision/liveness"
-	"cobaltpier/internal/protocol/binarymessage"
 	"cobaltpier/internal/routing"
 	"cobaltpier/internal/timerqueue"
 )
@@ -36,6 +34,7 @@
 	established       map[uint64]*call
 	canceled          map[uint64]float64          // expiry times of canceled setups whose answer may still come
 	unmatchedReleases map[uint64]unmatchedRelease // releases of calls that are unknown here
+	pendingReleases   []endpointRelease           // wait for a connection to the endpoint
 	// unreadUntilDial is the number of dials at the time when a connection ended on which the endpoint may have sent
 	// messages that were not read. It repeats releases on the next connection that is opened. 0: that was opened since.
 	unreadUntilDial uint64
@@ -85,12 +84,17 @@
 	return slices.ContainsFunc(u.conns, func(conn *Conn) bool { return !conn.connected })
 }
 
-// maintainConns opens the connections that are kept to the endpoint at all times. A draining endpoint gets no
-// setups, so it needs a connection only while calls are established there.
+// needsConn reports whether a connection must be kept to the endpoint. A draining endpoint gets no setups, so it needs
+// one only while calls are established there or releases wait.
+func (u *upstream) needsConn() bool {
+	return u.endpoint.State == routing.Ready || len(u.established) > 0 || len(u.pendingReleases) > 0
+}
+
+// maintainConns opens the connections that are kept to the endpoint at all times.
 func (u *upstream) maintainConns() {
 	wanted := min(minConnsPerEndpoint, u.gateway.connsPerEndpoint())
-	if u.endpoint.State != routing.Ready {
-		wanted = min(1, len(u.established))
+	if !u.needsConn() {
+		wanted = 0
 	}
 	for len(u.conns) < wanted && u.reconnectTimer == nil && u.mayReconnect() &&
 		(u.failedDials == 0 || len(u.conns) == 0) {
@@ -111,7 +115,7 @@
 func (u *upstream) mayReconnect() bool { return u.gateway.Now >= u.retryAt }
 
 // dial opens another connection.
-func (u *upstream) dial() *Conn {
+func (u *upstream) dial() {
 	g := u.gateway
 	u.dials++
 	conn := &Conn{gateway: g, peer: u, dialNumber: u.dials}
@@ -124,7 +128,6 @@
 		}
 	})
 	g.transport.Dial(conn, u.address)
-	return conn
 }
 
 // connectTimeout returns the maximum duration of a dial, in ms.
@@ -144,6 +147,7 @@
 	if conn.dialNumber > u.unreadUntilDial {
 		u.unreadUntilDial = 0
 	}
+	u.sendPendingReleases()
 	waiting := u.waitingLegs
 	u.waitingLegs = nil
 	for _, leg := range waiting {
@@ -191,37 +195,6 @@
 	return best
 }
 
-// releaseCall sends the release of an established call to the endpoint.
-func (u *upstream) releaseCall(call *call, cause byte) {
-	if cause == 0 {
-		cause = binarymessage.Normal
-	}
-	u.canceled[call.id] = u.gateway.Now + lateAnswerRetention
-	u.sendRelease(call.id, cause, call.upstreamConn)
-}
-
-// sendRelease sends a release on the given connection if it is still open, else on any other, else on a new one.
-func (u *upstream) sendRelease(id uint64, cause byte, conn *Conn) {
-	if conn == nil || conn.closed {
-		conn = u.anyConn()
-	}
-	if conn == nil {
-		conn = u.dial()
-	}
-	conn.send(releaseMessage(id, cause))
-}
-
-// anyConn returns a connection that is not closed, preferring an established one. It returns nil if there is none.
-func (u *upstream) anyConn() *Conn {
-	var found *Conn
-	for _, conn := range u.conns {
-		if !conn.closed && (found == nil || conn.connected && !found.connected) {
-			found = conn
-		}
-	}
-	return found
-}
-
 // onClosed implements peer. Setups that were sent on the connection may have been executed; the others were not.
 func (u *upstream) onClosed(conn *Conn, reason CloseReason) {
 	u.conns = slices.DeleteFunc(u.conns, func(other *Conn) bool { return other == conn })
@@ -311,7 +284,7 @@
 // reconnect dials if the endpoint has no connection, or needs another one to repeat releases on.
 func (u *upstream) reconnect() {
 	if len(u.conns) == 0 {
-		if u.endpoint.State == routing.Ready || len(u.established) > 0 {
+		if u.needsConn() {
 			u.dial()
 		}
 		return
@@ -325,104 +298,6 @@
 	}
 }
 
-// checkLiveness handles connections that are no longer usable and an endpoint that has become silent, and drops expired
-// state.
-func (u *upstream) checkLiveness() {
-	u.dropExpired()
-	u.closeBrokenStreams()
-	if u.isBusy() {
-		switch liveness.Assess(u.silence()) {
-		case liveness.Dead:
-			for _, conn := range slices.Clone(u.conns) {
-				conn.abort()
-			}
-			u.markDead()
-		case liveness.Suspect:
-			if u.reconnectTimer == nil && u.mayReconnect() && !u.isDialing() {
-				u.freeConnSlot()
-				u.dial()
-			}
-		}
-	}
-	u.maintainConns()
-}
-
-// closeBrokenStreams closes the connections whose message boundaries are lost.
-func (u *upstream) closeBrokenStreams() {
-	g := u.gateway
-	for _, conn := range slices.Clone(u.conns) {
-		if conn.reader.Partial() && liveness.IsStreamBroken(g.Now-conn.partialSince) {
-			g.Metrics.IncompleteMessages++
-			conn.abort()
-		}
-	}
-}
-
-func (u *upstream) dropExpired() {
-	now := u.gateway.Now
-	for id, expiresAt := range u.canceled {
-		if expiresAt < now {
-			delete(u.canceled, id)
-		}
-	}
-	for id, end := range u.unmatchedReleases {
-		if end.expiresAt < now {
-			delete(u.unmatchedReleases, id)
-		}
-	}
-}
-
-// isBusy reports whether the endpoint has established calls or setups in flight.
-func (u *upstream) isBusy() bool {
-	hasLegs := func(conn *Conn) bool { return len(conn.legs) > 0 }
-	return len(u.established) > 0 || slices.ContainsFunc(u.conns, hasLegs)
-}
-
-// silence returns the input of liveness.Assess: ms without a message, ms without a connection, and unanswered dials.
-func (u *upstream) silence() (silentFor, disconnectedFor float64, unansweredDials int) {
-	if u.connectedConns() == 0 {
-		disconnectedFor = u.gateway.Now - u.disconnectedAt
-	}
-	return u.gateway.Now - u.lastMessageAt, disconnectedFor, u.unansweredDials
-}
-
-// freeConnSlot closes the oldest idle connection if the connection limit is reached.
-func (u *upstream) freeConnSlot() {
-	if len(u.conns) < u.gateway.connsPerEndpoint() {
-		return
-	}
-	for _, conn := range u.conns {
-		if conn.connected && len(conn.legs) == 0 && len(conn.outgoing) == 0 && !conn.writePending {
-			conn.close()
-			return
-		}
-	}
-}
-
-// markDead ends the calls of an endpoint process that has died.
-func (u *upstream) markDead() {
-	if len(u.established) == 0 {
-		return
-	}
-	u.gateway.Metrics.EndpointsDead++
-	u.cutCalls(math.Inf(1))
-}
-
-// cutCalls ends the established calls that were set up before the given time.
-func (u *upstream) cutCalls(before float64) {
-	var cut []*call
-	for _, call := range u.established {
-		if call.startedAt < before {
-			cut = append(cut, call)
-		}
-	}
-	slices.SortFunc(cut, compareByID)
-	for _, call := range cut {
-		u.gateway.Metrics.CallsCut++
-		call.release(routing.Reset, binarymessage.Failure, false)
-	}
-}
-
 // onRestart ends the calls of the previous endpoint process; the current one started at startedAt.
 func (u *upstream) onRestart(startedAt float64) {
 	u.startedAt = startedAt
--- a/internal/protocol/binarygateway/upstreammessages.go
+++ b/internal/protocol/binarygateway/upstreammessages.go
@@ -53,7 +53,7 @@
 	description, ok := message.Get(binarymessage.Description)
 	if !ok { // established at the endpoint, but no valid answer can be sent to the caller
 		g.Metrics.ProtocolErrors++
-		conn.send(releaseMessage(id, binarymessage.Normal))
+		u.sendRelease(u.newRelease(id, binarymessage.Normal), conn)
 		leg.finish(routing.Failed)
 		return
 	}
@@ -81,11 +81,7 @@
 	}
 	_, canceled := u.canceled[id]
 	if canceled || leg != nil && leg.ended {
-		g.Metrics.LateAnswers++
-		conn.send(releaseMessage(id, binarymessage.Normal))
-		if call := g.calls[id]; call != nil && call.Session != nil {
-			call.StartHoldOff()
-		}
+		u.releaseLateAnswer(id, conn)
 		return
 	}
 	g.Metrics.UnmatchedAnswers++
