Ended calls: forget the oldest first, so that a restart loses no release

Cause: an endpoint repeats all releases since the latest connection was opened, oldest first, some 2,500 each. upstream.onRelease remembered the first 2,048 and dropped the newest, the only ones that clients still take for established. Evidence: unmatched_releases 5,028, dropped 932, calls_resumed 906 of a process that was up for ten seconds, no connection lost: the messages had come, the ends had been dropped.

Change: endedCalls forgets the oldest first and counts it. What a client may need is at most what stood at the endpoint when the process ended, and comes last: it holds whatever the rate and the time between two connections. The limit is for all endpoints together, four times the calls that can be resumed, divided among them. An end is remembered for 35 s, as clients may arrive 30 s after a start (before: 15 s), and also when it has been told once.

--- a/internal/gateway/binaryserver/standins_test.go
+++ b/internal/gateway/binaryserver/standins_test.go
@@ -244,12 +244,11 @@
 
 func newTestServer(t *testing.T, ns *testNameServer, endpoints ...*testEndpoint) *testServer {
 	t.Helper()
-	return startTestServer(
-		t,
-		ns,
-		func(settings *routing.Settings, h routing.Host) routing.Policy { return router.New(settings, h) },
-		func(map[string]any) {},
-		endpoints...)
+	return startTestServer(t, ns, newRouter, func(map[string]any) {}, endpoints...)
+}
+
+func newRouter(settings *routing.Settings, host routing.Host) routing.Policy {
+	return router.New(settings, host)
 }
 
 // startTestServer starts a gateway with a configuration that the function change has modified.
@@ -266,25 +265,33 @@
 	s.configDoc = testConfig(s.addr, ns.addr(), endpoints)
 	change(s.configDoc)
 	s.writeConfig()
+	s.start(newPolicy)
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *testServer) start(newPolicy routing.PolicyFactory) {
+	s.Helper()
 	config, err := binaryconfig.Load(s.configPath)
 	if err != nil {
-		t.Fatal(err)
+		s.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	go func() { s.result <- Run(ctx, s.configPath, config, newPolicy, zerolog.Nop(), s.signals) }()
-	t.Cleanup(func() {
-		cancel()
-		select {
-		case err := <-s.result:
-			if err != nil {
-				t.Error(err)
-			}
-		case <-time.After(5 * time.Second):
-			t.Error("the gateway has not stopped 5 s after its context was canceled")
+}
+
+// stop ends the gateway at once, as a kill does.
+func (s *testServer) stop() {
+	s.cancel()
+	select {
+	case err := <-s.result:
+		if err != nil {
+			s.Error(err)
 		}
-	})
-	return s
+	case <-time.After(5 * time.Second):
+		s.Error("the gateway has not stopped 5 s after its context was canceled")
+	}
 }
 
 // testConfig returns a configuration as the platform writes it.
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -122,9 +122,8 @@
 		conn.send(releaseMessage(id, binarymessage.Failure))
 		return
 	}
-	if end, ended := u.unmatchedReleases[id]; ended {
-		delete(u.unmatchedReleases, id)
-		conn.send(releaseMessage(id, end.cause))
+	if cause, ended := u.ended.cause(id); ended {
+		conn.send(releaseMessage(id, cause))
 		return
 	}
 	g.Metrics.CallsResumed++
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -21,9 +21,8 @@
 	Withdrawn          uint64 `json:"withdrawn"`           // setups withdrawn before they were sent
 	UnmatchedAnswers   uint64 `json:"unmatched_answers"`   // answers that match no setup of this gateway
 
-	// releases by endpoints of calls that are unknown here
-	UnmatchedReleases        uint64 `json:"unmatched_releases"`
-	UnmatchedReleasesDropped uint64 `json:"unmatched_releases_dropped"` // not kept for a client that resumes the call
+	UnmatchedReleases uint64 `json:"unmatched_releases"`  // releases by endpoints of calls that are unknown here
+	EndedCallsDropped uint64 `json:"ended_calls_dropped"` // ended calls that were forgotten early, beyond the limit
 
 	// established calls
 	CallsCut         uint64 `json:"calls_cut"`
@@ -74,14 +73,14 @@
 	return counts
 }
 
-// RememberedCounts returns how many ended calls the gateway remembers: those that were canceled, and those that an
-// endpoint released while they were unknown here.
-func (g *Gateway) RememberedCounts() (canceled, unmatchedReleases int) {
+// RememberedCounts returns how many ended calls the gateway remembers: those that were canceled, and those that ended
+// at an endpoint.
+func (g *Gateway) RememberedCounts() (canceled, ended int) {
 	for _, u := range g.upstreams {
 		canceled += len(u.canceled)
-		unmatchedReleases += len(u.unmatchedReleases)
+		ended += u.ended.len()
 	}
-	return canceled, unmatchedReleases
+	return canceled, ended
 }
 
 // EstablishedCalls returns the number of established calls, including resumed ones.
--- a/internal/protocol/binarygateway/upstream.go
+++ b/internal/protocol/binarygateway/upstream.go
@@ -10,14 +10,12 @@
 )
 
 const (
-	minConnsPerEndpoint       = 1       // kept open to an idle endpoint, which reports its load on them
-	maxBackoff                = 2000.0  // ms between two dials, before jitter
-	initialBackoff            = 50.0    // ms
-	maxBackoffDoublings       = 10      // of initialBackoff; maxBackoff is reached sooner
-	unmatchedReleaseRetention = 15000.0 // ms for which the release of an unknown call is kept for a client that resumes it
-	maxUnmatchedReleases      = 2048
-	lateAnswerRetention       = 30000.0 // ms after a cancel in which a late answer is still expected
-	defaultConnectTimeout     = 500.0   // ms, if the settings give none
+	minConnsPerEndpoint   = 1       // kept open to an idle endpoint, which reports its load on them
+	maxBackoff            = 2000.0  // ms between two dials, before jitter
+	initialBackoff        = 50.0    // ms
+	maxBackoffDoublings   = 10      // of initialBackoff; maxBackoff is reached sooner
+	lateAnswerRetention   = 30000.0 // ms after a cancel in which a late answer is still expected
+	defaultConnectTimeout = 500.0   // ms, if the settings give none
 )
 
 // upstream manages all connections to one endpoint.
@@ -31,10 +29,10 @@
 	nextConn    uint64         // rotates among equally used connections
 	waitingLegs []*outboundLeg // setups that wait for a connection
 
-	established       map[uint64]*call
-	canceled          map[uint64]float64          // expiry times of canceled setups whose answer may still come
-	unmatchedReleases map[uint64]unmatchedRelease // releases of calls that are unknown here
-	pendingReleases   []endpointRelease           // wait for a connection to the endpoint
+	established     map[uint64]*call
+	ended           endedCalls
+	canceled        map[uint64]float64 // expiry times of canceled setups whose answer may still come
+	pendingReleases []endpointRelease  // wait for a connection to the endpoint
 	// unreadUntilDial is the number of dials at the time when a connection ended on which the endpoint may have sent
 	// messages that were not read. It repeats releases on the next connection that is opened. 0: that was opened since.
 	unreadUntilDial uint64
@@ -49,23 +47,16 @@
 	disconnectedAt  float64
 }
 
-// unmatchedRelease is an endpoint's release of a call that is unknown here.
-type unmatchedRelease struct {
-	cause     byte
-	expiresAt float64
-}
-
 func newUpstream(g *Gateway, endpoint *routing.Endpoint, address netip.AddrPort) *upstream {
 	return &upstream{
-		gateway:           g,
-		endpoint:          endpoint,
-		address:           address,
-		startedAt:         endpoint.StartedAt,
-		established:       map[uint64]*call{},
-		canceled:          map[uint64]float64{},
-		unmatchedReleases: map[uint64]unmatchedRelease{},
-		lastMessageAt:     g.Now,
-		disconnectedAt:    g.Now,
+		gateway:        g,
+		endpoint:       endpoint,
+		address:        address,
+		startedAt:      endpoint.StartedAt,
+		established:    map[uint64]*call{},
+		canceled:       map[uint64]float64{},
+		lastMessageAt:  g.Now,
+		disconnectedAt: g.Now,
 	}
 }
 
--- a/internal/protocol/binarygateway/upstreamliveness.go
+++ b/internal/protocol/binarygateway/upstreamliveness.go
@@ -49,11 +49,7 @@
 			delete(u.canceled, id)
 		}
 	}
-	for id, end := range u.unmatchedReleases {
-		if end.expiresAt < now {
-			delete(u.unmatchedReleases, id)
-		}
-	}
+	u.ended.dropExpired(now)
 	u.pendingReleases = slices.DeleteFunc(u.pendingReleases, func(release endpointRelease) bool {
 		return release.expiresAt < now
 	})
--- a/internal/protocol/binarygateway/upstreammessages.go
+++ b/internal/protocol/binarygateway/upstreammessages.go
@@ -111,18 +111,16 @@
 		g.Router.OnLoadReport(g.Now, u.endpoint, true, true)
 	}
 	if g.calls[id] == nil { // its client may still resume it
-		u.rememberRelease(id, cause)
+		g.Metrics.UnmatchedReleases++
+		u.rememberEnd(id, cause)
 	}
 }
 
-func (u *upstream) rememberRelease(id uint64, cause byte) {
-	metrics := &u.gateway.Metrics
-	metrics.UnmatchedReleases++
-	if len(u.unmatchedReleases) >= maxUnmatchedReleases {
-		metrics.UnmatchedReleasesDropped++
-		return
-	}
-	u.unmatchedReleases[id] = unmatchedRelease{cause, u.gateway.Now + unmatchedReleaseRetention}
+// rememberEnd remembers that a call has ended at the endpoint.
+func (u *upstream) rememberEnd(id uint64, cause byte) {
+	g := u.gateway
+	forgotten := u.ended.remember(id, cause, g.Now, g.endedCallsPerEndpoint())
+	g.Metrics.EndedCallsDropped += uint64(forgotten)
 }
 
 // onSetupReleased handles the release of a setup that was not answered. If the attempt is being canceled, the cancel
