Ended calls: remember also the ends that this process has told its clients

A call that is over is taken over as established whenever the gateway does not remember its end. That was so for every call that ended here: where its release is lost with the client's connection, or crosses the setup in which the client names the call on its next one, the call is resumed and never released. A release in answer to such a setup was lost too if the connection closed before it was sent.

Change: call.release remembers the end; client.resumeCall sends its releases like all others, again on another connection if they are lost unsent. Releases that an endpoint repeats are known then and take no further place.

Test: TestResumedAfterLostRelease fails without the change (no release, 1 call established). Not played on sockets.

--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -188,7 +188,8 @@
 		g.Metrics.ReleasesByCaller++
 		u.releaseCall(c, cause)
 	} else {
-		c.client.sendRelease(c.conn, pendingRelease{c.id, cause, g.Now + releaseRetention})
+		u.rememberEnd(c.id, cause) // in case the release is lost with the client's connection
+		c.client.sendRelease(c.conn, newPendingRelease(g.Now, c.id, cause))
 	}
 	if c.Session == nil {
 		g.resumedCalls--
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -23,6 +23,10 @@
 	expiresAt float64
 }
 
+func newPendingRelease(now float64, callID uint64, cause byte) pendingRelease {
+	return pendingRelease{callID, cause, now + releaseRetention}
+}
+
 const (
 	releaseRetention   = 20000.0 // ms: a client that reconnects at all does so sooner
 	maxPendingReleases = 4096
@@ -119,11 +123,11 @@
 	}
 	u := g.upstreams[g.Endpoints.ByID(endpointID)]
 	if u == nil || g.resumedCalls >= maxResumedCalls {
-		conn.send(releaseMessage(id, binarymessage.Failure))
+		c.sendRelease(conn, newPendingRelease(g.Now, id, binarymessage.Failure))
 		return
 	}
 	if cause, ended := u.ended.cause(id); ended {
-		conn.send(releaseMessage(id, cause))
+		c.sendRelease(conn, newPendingRelease(g.Now, id, cause))
 		return
 	}
 	g.Metrics.CallsResumed++
--- a/internal/protocol/binarygateway/endedcalls.go
+++ b/internal/protocol/binarygateway/endedcalls.go
@@ -5,7 +5,8 @@
 //
 // It holds a limited number and forgets the oldest first. After a start of the gateway, the endpoint repeats the
 // releases of all calls that ended since the latest connection of the process before, oldest first. Their clients know
-// of most of these ends; the newest are those that the earlier process has not forwarded.
+// of most of these ends; the newest are those that the earlier process has not forwarded. It also holds the calls that
+// this process has released towards their clients: such a release may be lost with the client's connection.
 type endedCalls struct {
 	causes map[uint64]byte // of the releases, by call ID
 	order  []endedCall     // oldest first
--- a/internal/protocol/binarygateway/endedcalls_test.go
+++ b/internal/protocol/binarygateway/endedcalls_test.go
@@ -60,3 +60,24 @@
 		t.Errorf("%d ended calls are remembered, want none", remembered)
 	}
 }
+
+// TestResumedAfterLostRelease guards against a call that has ended here and is taken over as established: its release
+// was lost with the connection of its client, which resumes it on the next one, and there it is lost unsent.
+func TestResumedAfterLostRelease(t *testing.T) {
+	g := newTestGateway(t)
+	caller := g.acceptClient()
+	conn := g.establish(caller, 7)
+	g.deliver(conn, binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Normal))
+	g.gateway.OnClosed(g.now, caller.gatewayConn, ClosedReset)
+	second := g.acceptClient()
+	second.blocked = true
+	g.resume(second, 7)
+	g.gateway.OnClosed(g.now, second.gatewayConn, ClosedReset)
+	g.advance(100)
+	third := g.acceptClient()
+	g.step()
+	g.expectMessage(third.lastMessage(7), binarymessage.Release, binarymessage.Normal)
+	if calls := g.gateway.OpenCounts().Calls; calls != 0 {
+		t.Errorf("%d calls are established, want none", calls)
+	}
+}
