Pending releases: one limit for all clients, drop the oldest and count it

At 200 calls a second the limit was just enough for the 20 s of waiting; at ten times that rate calls would have been left unreleased.

Change: the limit is 65,536 for all clients together (24 bytes each; the number of clients had none), beyond it the client with the most loses its oldest, and releases_dropped counts it.

--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -29,8 +29,8 @@
 
 const (
 	releaseRetention   = 20000.0 // ms: a client that reconnects at all does so sooner
-	maxPendingReleases = 4096
-	maxResumedCalls    = 8192 // bounds the state that clients can create by resuming calls
+	maxPendingReleases = 65536   // of all clients together
+	maxResumedCalls    = 8192    // bounds the state that clients can create by resuming calls
 )
 
 // onMessage implements peer.
@@ -185,10 +185,7 @@
 		conn = c.lastUsedConn()
 	}
 	if conn == nil {
-		c.gateway.Metrics.ReleasesDeferred++
-		if len(c.pendingReleases) < maxPendingReleases {
-			c.pendingReleases = append(c.pendingReleases, release)
-		}
+		c.deferRelease(release)
 		return
 	}
 	conn.enqueue(outgoingMessage{
@@ -197,6 +194,27 @@
 	})
 }
 
+// deferRelease keeps a release for the client's next connection. Beyond the limit, the client with the most releases
+// loses its oldest.
+func (c *client) deferRelease(release pendingRelease) {
+	g := c.gateway
+	g.Metrics.ReleasesDeferred++
+	c.pendingReleases = append(c.pendingReleases, release)
+	g.pendingReleases++
+	if g.pendingReleases <= maxPendingReleases {
+		return
+	}
+	most := c
+	for _, other := range g.clients {
+		if len(other.pendingReleases) > len(most.pendingReleases) {
+			most = other
+		}
+	}
+	most.pendingReleases = most.pendingReleases[1:]
+	g.pendingReleases--
+	g.Metrics.ReleasesDropped++
+}
+
 func (c *client) lastUsedConn() *Conn {
 	var latest *Conn
 	for _, conn := range c.conns {
@@ -211,6 +229,7 @@
 func (c *client) sendPendingReleases(conn *Conn) {
 	releases := c.pendingReleases
 	c.pendingReleases = nil
+	c.gateway.pendingReleases -= len(releases)
 	for _, release := range releases {
 		c.sendRelease(conn, release)
 	}
@@ -222,7 +241,9 @@
 	c.pendingReleases = slices.DeleteFunc(c.pendingReleases, func(release pendingRelease) bool {
 		return release.expiresAt < now
 	})
-	c.gateway.Metrics.ReleasesDropped += uint64(before - len(c.pendingReleases))
+	expired := before - len(c.pendingReleases)
+	c.gateway.pendingReleases -= expired
+	c.gateway.Metrics.ReleasesDropped += uint64(expired)
 }
 
 func releaseMessage(callID uint64, cause byte) []byte {
--- a/internal/protocol/binarygateway/gateway.go
+++ b/internal/protocol/binarygateway/gateway.go
@@ -73,6 +73,8 @@
 	ready         bool
 	draining      bool
 	randomDraws   uint64 // random numbers drawn so far
+
+	pendingReleases int // releases that wait for a connection of their client
 }
 
 // healthCheck is a client's unanswered query whether this gateway takes calls.
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -28,7 +28,7 @@
 	CallsCut         uint64 `json:"calls_cut"`
 	CallsResumed     uint64 `json:"calls_resumed"`     // taken over from an earlier process
 	ReleasesDeferred uint64 `json:"releases_deferred"` // releases that had to wait for a client connection
-	ReleasesDropped  uint64 `json:"releases_dropped"`  // releases whose client did not reconnect in time
+	ReleasesDropped  uint64 `json:"releases_dropped"`  // their clients did not reconnect in time, or too many wait
 	LateAnswers      uint64 `json:"late_answers"`      // answers that crossed a cancel
 	EndpointsDead    uint64 `json:"endpoints_dead"`
 	ReleasesByCaller uint64 `json:"releases_by_caller"`
