Endpoint restart: end the calls of older connections, not all that arrived before

Cause: upstream.onRestart compared the start of the endpoint's process with the arrival of the call at the gateway. A call that waits here and is set up at the new process has arrived before that start.

Change: a call ends with a restart if its connection to the endpoint was opened before the process started. A connection does not outlive the process at its other end: two restarts told as one, a list that tells the start late and clocks up to 100 ms apart make no difference.

Test: TestRestartEndsOnlyEarlierCalls fails without the change, with the list's clock 50 ms behind, equal and 50 ms ahead. Not played on sockets.

--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -12,18 +12,20 @@
 // call is a client's call, pending or established. A call resumed from an earlier process has no Session.
 type call struct {
 	*callcontrol.Session
-	gateway   *Gateway
-	id        uint64
-	client    *client
-	conn      *Conn        // the client's connection for the answer, later for the release; nil if closed
-	setup     []byte       // the client's message, until the call is established
-	leg       *outboundLeg // of the attempt in flight
-	startedAt float64
+	gateway *Gateway
+	id      uint64
+	client  *client
+	conn    *Conn        // the client's connection for the answer, later for the release; nil if closed
+	setup   []byte       // the client's message, until the call is established
+	leg     *outboundLeg // of the attempt in flight
 
 	// of an established call
 	upstream     *upstream
 	attempt      *routing.Attempt
 	upstreamConn *Conn // nil if closed
+	// endpointUpSince is a time at which the endpoint's process was running already: when the connection was opened on
+	// which the call was set up, or when a call of an earlier process of this gateway was resumed.
+	endpointUpSince float64
 }
 
 // HasAttempt implements callcontrol.SignalingLeg.
@@ -144,6 +146,7 @@
 	g.AddEstablished(1)
 	g.Counts.Answered++
 	c.upstream, c.upstreamConn, c.attempt, c.setup = u, conn, attempt, nil
+	c.endpointUpSince = conn.connectedAt
 	u.established[c.id] = c
 	c.client.establishedCalls++
 	if c.conn == nil {
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -92,13 +92,12 @@
 		Resumed:       request.repeated,
 	}
 	call := &call{
-		Session:   g.NewSession(routed, request.timeout),
-		gateway:   g,
-		id:        id,
-		client:    c,
-		conn:      conn,
-		setup:     slices.Clone(message),
-		startedAt: g.Now,
+		Session: g.NewSession(routed, request.timeout),
+		gateway: g,
+		id:      id,
+		client:  c,
+		conn:    conn,
+		setup:   slices.Clone(message),
 	}
 	call.SignalingLeg = call
 	call.Deadline = call.TimeoutStart + request.timeout - g.config.AnswerMargin
@@ -132,7 +131,7 @@
 	}
 	g.Metrics.CallsResumed++
 	g.resumedCalls++
-	call := &call{gateway: g, id: id, client: c, upstream: u, startedAt: g.Now}
+	call := &call{gateway: g, id: id, client: c, upstream: u, endpointUpSince: g.Now}
 	g.calls[id] = call
 	u.established[id] = call
 	c.establishedCalls++
--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -39,6 +39,7 @@
 	legs                []*outboundLeg
 	dialNumber          uint64 // counted from 1 over all dials of the upstream
 	connected           bool
+	connectedAt         float64
 	endpointSentMessage bool // the endpoint has sent a message on it
 	retired             bool // it takes no more setups
 }
--- a/internal/protocol/binarygateway/testgateway_test.go
+++ b/internal/protocol/binarygateway/testgateway_test.go
@@ -27,6 +27,7 @@
 	events            []string
 	retryAfterFailure bool // attempt the next endpoint 500 ms (the hold-off) after a failed attempt
 	lastCall          *routing.Call
+	holdCalls         bool // attempt nothing for new calls
 }
 
 func (p *scriptedPolicy) OnEndpoints(_ float64, changed []*routing.Endpoint) {
@@ -39,7 +40,9 @@
 func (p *scriptedPolicy) OnCall(now float64, c *routing.Call) {
 	p.events = append(p.events, "offered")
 	p.lastCall = c
-	p.attemptNext(c)
+	if !p.holdCalls {
+		p.attemptNext(c)
+	}
 }
 func (p *scriptedPolicy) attemptNext(c *routing.Call) {
 	if len(p.attemptOrder) == 0 {
--- a/internal/protocol/binarygateway/upstream.go
+++ b/internal/protocol/binarygateway/upstream.go
@@ -132,7 +132,7 @@
 // onConnected sends the waiting setups. An established connection proves only that the host accepts connections; the
 // endpoint counts as working after its first message.
 func (u *upstream) onConnected(conn *Conn) {
-	conn.connected = true
+	conn.connected, conn.connectedAt = true, u.gateway.Now
 	u.gateway.Metrics.Connected++
 	u.lastConnReset = false
 	if conn.dialNumber > u.unreadUntilDial {
@@ -289,10 +289,15 @@
 	}
 }
 
-// onRestart ends the calls of the previous endpoint process; the current one started at startedAt.
+// restartClockTolerance is how far the start of an endpoint, as the list tells it, may lie after a connection to the
+// new process, ms: the list has another clock. An endpoint is down for longer between two processes.
+const restartClockTolerance = 100.0
+
+// onRestart ends the calls of earlier endpoint processes; the current one started at startedAt. The list may tell it
+// late, so calls may have been set up at the current process: on connections that are younger than the process.
 func (u *upstream) onRestart(startedAt float64) {
 	u.startedAt = startedAt
-	u.cutCalls(startedAt)
+	u.cutCalls(startedAt - restartClockTolerance)
 }
 
 // withdrawUnsent withdraws the setups that were not sent, since the endpoint must get no new ones (rule 3).
--- a/internal/protocol/binarygateway/upstream_test.go
+++ b/internal/protocol/binarygateway/upstream_test.go
@@ -356,6 +356,47 @@
 	}
 }
 
+// TestRestartEndsOnlyEarlierCalls guards against calls that are cut although they are established at the current
+// process of an endpoint: the list tells its start late, on another clock, and the setup arrived here before that
+// start. A call of an earlier process ends, also if the endpoint has restarted twice before the list tells it.
+func TestRestartEndsOnlyEarlierCalls(t *testing.T) {
+	const earlier, between, current = 7, 8, 9
+	for _, clockOffset := range []float64{-50, 0, 50} {
+		g := newTestGateway(t)
+		caller := g.acceptClient()
+		g.establish(caller, earlier)
+		restart := func() (startedAt float64) {
+			g.holdDials = true
+			for _, conn := range g.connsTo(addrA) {
+				g.gateway.OnClosed(g.now, conn.gatewayConn, ClosedReset)
+			}
+			g.advance(300)
+			startedAt = g.now
+			g.holdDials = false
+			g.step()
+			return startedAt
+		}
+		restart()
+		g.establish(caller, between)
+		g.advance(1000)
+		g.policy.holdCalls = true
+		g.deliverSetup(caller, current)
+		startedAt := restart()
+		g.policy.attemptOrder = []int{0}
+		g.policy.attemptNext(g.policy.lastCall)
+		g.step()
+		g.deliver(g.setupConn(current), binarymessage.Answer, current, answerDescription)
+		g.advance(500)
+		g.setEndpoints(2, dnsdiscovery.Entry{ID: "a", Addr: addrA, DestinationID: 0, State: routing.Ready,
+			StartedAt: startedAt + clockOffset}, readyEntry("b", addrB, 1))
+		g.step()
+		for _, id := range []uint64{earlier, between} {
+			g.expectMessage(caller.lastMessage(id), binarymessage.Release, binarymessage.Failure)
+		}
+		g.expectMessage(caller.lastMessage(current), binarymessage.Answer, 0)
+	}
+}
+
 // TestFailedDials: an attempt ends as connection refused, at once if the dial is refused and after the connect
 // timeout if it is not answered. Neither counts as a reset, since the setup was not executed.
 func TestFailedDials(t *testing.T) {
--- a/internal/protocol/binarygateway/upstreamliveness.go
+++ b/internal/protocol/binarygateway/upstreamliveness.go
@@ -91,11 +91,11 @@
 	u.cutCalls(math.Inf(1))
 }
 
-// cutCalls ends the established calls that were set up before the given time.
+// cutCalls ends the established calls of processes of the endpoint that were running before the given time.
 func (u *upstream) cutCalls(before float64) {
 	var cut []*call
 	for _, call := range u.established {
-		if call.startedAt < before {
+		if call.endpointUpSince < before {
 			cut = append(cut, call)
 		}
 	}
