Delivery: releases owed to clients and endpoints are sent until they arrive

Cause: a release is written once. TCP takes it, the reset comes a moment later, and nobody remembers what was on the connection.

Change: package delivery. An Outbox holds the releases owed to one peer with the connection on which each went out, and returns them when that ends. One counts as delivered when the peer has answered a later message there, confirms it, or the connection has stayed open for 1 s (clients) or 10 s (endpoints). The outboxes replace four lists and callbacks of clients and endpoints. A health check beyond the limit fails at once in place of getting no answer.

The checker of the binary gateway took a second release for a fault and allows it now where the connection of the first has closed, and only then; a release that was lost unread has to come again in time (new), and its own tests grew by 11 cases.

--- a/internal/conformance/binaryconformance/checker.go
+++ b/internal/conformance/binaryconformance/checker.go
@@ -1,9 +1,9 @@
 // Package binaryconformance checks the rules for the binary gateway using only what is visible at one gateway's
 // sockets: the messages written and read, connections opened and closed, and the endpoint lists delivered. It sees
 // nothing of the gateway's internal state. Rule 4 concerns all gateways together and is checked by package
-// conformance and on the platform's simulator. Rules 6 and 7 are this package's own: a call that has ended is released
-// towards its caller in time, and a call that must not be executed twice is neither attempted again nor rejected once
-// it may have been executed.
+// conformance and on the platform's simulator. Rules 6 to 8 are this package's own: a call that has ended is released
+// towards its caller in time; a call that must not be executed twice is neither attempted again nor rejected once it
+// may have been executed; a call that its caller has released is released at its switch.
 package binaryconformance
 
 //tally:standin
@@ -22,14 +22,14 @@
 	DrainGrace          float64 // setups may be sent this long after the gateway is told that a switch drains or is gone
 	HoldOff             float64 // no attempt of the call for this long after a time-out, reset or cancel
 	ReleaseWithin       float64 // a call that has ended is released towards its caller within this
-	ReleaseWithinSilent float64 // the same if the switch ended without a message
+	ReleaseWithinSilent float64 // the same if the switch ended without a message, and for a call released by its caller
 	// NonIdempotent holds the classes whose calls must not be executed twice.
 	NonIdempotent map[string]bool
 }
 
 // Finding is one violation of a rule.
 type Finding struct {
-	Rule        int // 6 and 7: see the package
+	Rule        int // 6 to 8: see the package
 	At          float64
 	Call        uint64
 	Description string
@@ -49,6 +49,7 @@
 	drainingSince   map[string]float64 // by switch: when the gateway was told that it drains or is gone
 	clientConnected bool               // the callers have a connection
 	connectedSince  float64            // since when they have one
+	closedConns     map[int]bool       // the callers' connections that have closed
 }
 
 type call struct {
@@ -64,6 +65,8 @@
 	endedAt      float64 // when the established call ended, +Inf: it has not ended or was never established
 	unreadable   bool    // the switch's release can't be read, and it has not repeated the release
 	released     bool    // released towards the caller, or by it
+	releasedOn   int     // the caller's connection on which it was released
+	hungUpAt     float64 // when its caller released it after the answer, +Inf: it has not
 	established  bool
 }
 
@@ -74,7 +77,7 @@
 
 // New returns a checker with the given limits.
 func New(r Rules) *Checker {
-	return &Checker{Rules: r, calls: map[uint64]*call{}, drainingSince: map[string]float64{}}
+	return &Checker{Rules: r, calls: map[uint64]*call{}, drainingSince: map[string]float64{}, closedConns: map[int]bool{}}
 }
 
 func (k *Checker) report(rule int, callID uint64, format string, args ...any) {
@@ -110,7 +113,7 @@
 		}
 		var timeout float64
 		_, _ = fmt.Sscan(m.Text(binarymessage.Timeout), &timeout)
-		k.calls[m.CallID()] = &call{id: m.CallID(), deadline: at + timeout, endedAt: math.Inf(1),
+		k.calls[m.CallID()] = &call{id: m.CallID(), deadline: at + timeout, endedAt: math.Inf(1), hungUpAt: math.Inf(1),
 			idempotent: !k.Rules.NonIdempotent[m.Text(binarymessage.Class)]}
 		k.Setups.SetUps++
 	case binarymessage.Release:
@@ -119,11 +122,14 @@
 		}
 		c.callerGone = true
 		if c.established {
-			c.released = true
+			c.released, c.hungUpAt = true, math.Min(c.hungUpAt, at)
 		}
 	}
 }
 
+// OnClientConnClosed reports that a caller's connection has closed. What was written on it may not have been read.
+func (k *Checker) OnClientConnClosed(conn int) { k.closedConns[conn] = true }
+
 // OnCallAbandoned reports that the caller closed the connection on which it sent a call's setup.
 func (k *Checker) OnCallAbandoned(id uint64) {
 	if c := k.calls[id]; c != nil && c.finalAnswer == 0 {
@@ -132,7 +138,7 @@
 }
 
 // OnMessageToClient reports a message that the gateway wrote to a caller's connection.
-func (k *Checker) OnMessageToClient(at float64, m binarymessage.Message) {
+func (k *Checker) OnMessageToClient(at float64, conn int, m binarymessage.Message) {
 	k.now = at
 	c := k.calls[m.CallID()]
 	if c == nil {
@@ -147,13 +153,7 @@
 		return
 	}
 	if m.Type() == binarymessage.Release && c.finalAnswer == binarymessage.Answer {
-		if c.released && !c.callerGone {
-			k.report(1, c.id, "released twice")
-		}
-		c.released = true
-		if due := math.Max(c.endedAt, k.connectedSince) + k.Rules.ReleaseWithin; at > due && !c.callerGone {
-			k.report(6, c.id, "ended at %.0f ms, but the release to the caller was %.0f ms late", c.endedAt, at-due)
-		}
+		k.onReleaseToClient(c, at, conn)
 		return
 	}
 	if c.finalAnswer != 0 {
@@ -175,6 +175,28 @@
 	}
 }
 
+// onReleaseToClient checks a release after the answer. The first one has to be in time; another is allowed if the
+// connection of the one before has closed, as that one may not have been read.
+func (k *Checker) onReleaseToClient(c *call, at float64, conn int) {
+	again := c.released && !c.callerGone
+	c.released = true
+	if again && !k.closedConns[c.releasedOn] {
+		k.report(1, c.id, "released twice")
+	}
+	c.releasedOn = conn
+	if due := math.Max(c.endedAt, k.connectedSince) + k.Rules.ReleaseWithin; at > due && !again && !c.callerGone {
+		k.report(6, c.id, "ended at %.0f ms, but the release to the caller was %.0f ms late", c.endedAt, at-due)
+	}
+}
+
+// OnUnreadByClient reports a message that the gateway wrote to a caller's connection and that was lost with it.
+func (k *Checker) OnUnreadByClient(m binarymessage.Message) {
+	c := k.calls[m.CallID()]
+	if c != nil && m.Type() == binarymessage.Release && c.finalAnswer == binarymessage.Answer && !c.callerGone {
+		c.released = false
+	}
+}
+
 // checkRejection checks the promise of a rejection: trying again is harmless.
 func (k *Checker) checkRejection(c *call, cause byte) {
 	switch cause {
@@ -264,12 +286,21 @@
 				c.holdOffUntil = at + k.Rules.HoldOff
 			}
 		case c.isEstablishedAt(endpoint):
+			k.checkHungUp(c, math.Min(c.endedAt, at))
 			c.endedAt = math.Min(c.endedAt, at)
 			c.unreadable = false
 		}
 	}
 }
 
+// checkHungUp checks that a call which was still established at its switch at a time was not released by its caller
+// long before.
+func (k *Checker) checkHungUp(c *call, at float64) {
+	if at > c.hungUpAt+k.Rules.ReleaseWithinSilent {
+		k.report(8, c.id, "established at its switch %.0f ms after its caller released it", at-c.hungUpAt)
+	}
+}
+
 // OnUnreadableRelease reports a release that a switch sent and that the gateway can't read, because a message before it
 // had a wrong length. The switch repeats it on the next connection that the gateway opens.
 func (k *Checker) OnUnreadableRelease(at float64, endpoint string, callID uint64) {
@@ -315,6 +346,9 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		c := k.calls[id]
+		if c.established && math.IsInf(c.endedAt, 1) {
+			k.checkHungUp(c, at)
+		}
 		if c.finalAnswer == 0 && !c.callerGone && at > c.deadline+k.Rules.AnswerGrace {
 			k.report(1, id, "no final answer")
 		}
--- a/internal/conformance/binaryconformance/checker_test.go
+++ b/internal/conformance/binaryconformance/checker_test.go
@@ -9,13 +9,14 @@
 // traffic reports events of call 7 to a checker, at a time that wait advances.
 type traffic struct {
 	*Checker
-	at float64
+	at         float64
+	clientConn int // on which the gateway releases the call
 }
 
 func begin() *traffic {
 	k := New(Rules{AnswerGrace: 50, DrainGrace: 250, HoldOff: 500, ReleaseWithin: 1000, ReleaseWithinSilent: 8000})
 	k.SetClientConnected(0, true)
-	return &traffic{k, 0}
+	return &traffic{k, 0, 1}
 }
 
 func (t *traffic) wait(ms float64) *traffic { t.at += ms; return t }
@@ -58,23 +59,84 @@
 	return t
 }
 func (t *traffic) answer() *traffic {
-	t.OnMessageToClient(t.at, binarymessage.Append(nil, binarymessage.Answer, 7))
+	t.OnMessageToClient(t.at, 1, binarymessage.Append(nil, binarymessage.Answer, 7))
 	return t
 }
 func (t *traffic) release() *traffic {
 	t.OnMessageToClient(
 		t.at,
+		t.clientConn,
 		binarymessage.Append(nil, binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Congested)),
 	)
 	return t
 }
 
+func (t *traffic) newClientConn() *traffic {
+	t.OnClientConnClosed(t.clientConn)
+	t.clientConn++
+	return t
+}
+func (t *traffic) hangUp() *traffic {
+	t.OnClientMessage(
+		t.at,
+		binarymessage.Append(nil, binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Normal)),
+	)
+	return t
+}
+func (t *traffic) unreadable(endpoint string) *traffic {
+	t.OnUnreadableRelease(t.at, endpoint, 7)
+	return t
+}
+func (t *traffic) nonIdempotent() *traffic {
+	t.Rules.NonIdempotent = map[string]bool{"": true} // the class of setup
+	return t
+}
+
+// findingCase is traffic and the rule that it breaks; 0: none.
+type findingCase struct {
+	traffic *traffic
+	want    int
+}
+
+func (c findingCase) check(t *testing.T, name string) {
+	t.Helper()
+	c.traffic.Finish(c.traffic.at)
+	if got := c.traffic.Findings; (c.want == 0) != (len(got) == 0) || c.want > 0 && got[0].Rule != c.want {
+		t.Errorf("%s: found %v, want rule %d", name, got, c.want)
+	}
+}
+
+// TestReleaseAndExecutionFindings checks the same for the rules of this package.
+func TestReleaseAndExecutionFindings(t *testing.T) {
+	for name, c := range map[string]findingCase{
+		"released again on another connection": {begin().setup().attempt("a", 1).answered("a", 1).answer().
+			released("a", 1, binarymessage.Normal).release().newClientConn().release(), 0},
+		"released twice on another connection": {begin().setup().attempt("a", 1).answered("a", 1).answer().
+			released("a", 1, binarymessage.Normal).release().newClientConn().release().release(), 1},
+		"rejected after an attempt": {begin().setup().attempt("a", 1).cancel("a", 1).release(), 0},
+		"the same, not idempotent":  {begin().nonIdempotent().setup().attempt("a", 1).cancel("a", 1).release(), 7},
+		"rejected, not idempotent": {begin().nonIdempotent().setup().attempt("a", 1).
+			released("a", 1, binarymessage.NoCircuit).release(), 0},
+		"attempted again, not idempotent": {begin().nonIdempotent().setup().attempt("a", 1).cancel("a", 1).wait(500).
+			attempt("b", 2).answered("b", 2).answer().released("b", 2, binarymessage.Normal).release(), 7},
+		"released by the caller": {begin().setup().attempt("a", 1).answered("a", 1).answer().hangUp().wait(100).
+			cancel("a", 1).wait(9000), 0},
+		"released by the caller alone": {begin().setup().attempt("a", 1).answered("a", 1).answer().hangUp().
+			wait(8100), 8},
+		"ended long after its caller released it": {begin().setup().attempt("a", 1).answered("a", 1).answer().hangUp().
+			wait(8100).released("a", 1, binarymessage.Normal), 8},
+		"an unreadable release": {begin().setup().attempt("a", 1).answered("a", 1).answer().unreadable("a").
+			wait(2000), 6},
+		"an unreadable release, repeated": {begin().setup().attempt("a", 1).answered("a", 1).answer().unreadable("a").
+			wait(900).released("a", 1, binarymessage.Normal).release(), 0},
+	} {
+		c.check(t, name)
+	}
+}
+
 // TestFindings checks that traffic that keeps the rules has no findings, and that each way to break one is found.
 func TestFindings(t *testing.T) {
-	for name, c := range map[string]struct {
-		traffic *traffic
-		want    int
-	}{
+	for name, c := range map[string]findingCase{
 		"an established call": {begin().setup().attempt("a", 1).wait(50).answered("a", 1).answer().wait(500).
 			released("a", 1, binarymessage.Normal).release(), 0},
 		"rejected": {begin().setup().release(), 0},
@@ -100,10 +162,7 @@
 		"ended, and the caller not told": {begin().setup().attempt("a", 1).answered("a", 1).answer().
 			released("a", 1, binarymessage.Normal).wait(2000), 6},
 	} {
-		c.traffic.Finish(c.traffic.at)
-		if got := c.traffic.Findings; (c.want == 0) != (len(got) == 0) || c.want > 0 && got[0].Rule != c.want {
-			t.Errorf("%s: found %v, want rule %d", name, got, c.want)
-		}
+		c.check(t, name)
 	}
 	// events other than messages: draining, closed connections, switches that end
 	drain := begin()
--- a/internal/emulator/binarystandin/conn.go
+++ b/internal/emulator/binarystandin/conn.go
@@ -13,7 +13,7 @@
 type conn struct {
 	sim          *Simulation
 	gatewayConn  *binarygateway.Conn
-	connNumber   int       // counted from 1 over all connections that the gateway opened; 0 on a client's connection
+	connNumber   int       // counted from 1 over all connections that the gateway opened, or over those of clients
 	endpoint     *Endpoint // nil on a client's connection
 	reader       binarymessage.Reader
 	pendingCalls []uint64 // on a client's connection: ids of calls for which no message from the gateway has arrived yet
@@ -84,6 +84,7 @@
 		}
 		return
 	}
+	sim.Checker.OnClientConnClosed(c.connNumber)
 	for _, id := range c.pendingCalls {
 		sim.Checker.OnCallAbandoned(id)
 	}
@@ -112,14 +113,24 @@
 }
 
 func (c *conn) deliver(b []byte) {
+	if c.endpoint != nil && c.sim.happens(c.sim.Faults.Forgotten) {
+		c.sim.after(0.2, c.reset)
+		return
+	}
 	if err := c.reader.Feed(b, func(m binarymessage.Message) bool {
 		m = slices.Clone(m)
 		if c.endpoint != nil {
 			c.sim.Checker.OnMessageToEndpoint(c.sim.now, c.endpoint.id, c.connNumber, m)
 			c.sim.after(0.2, func() { c.endpoint.onMessage(c, m) })
 		} else {
-			c.sim.Checker.OnMessageToClient(c.sim.now, m)
-			c.sim.after(0.2, func() { c.onClientMessage(m) })
+			c.sim.Checker.OnMessageToClient(c.sim.now, c.connNumber, m)
+			c.sim.after(0.2, func() {
+				if c.closed {
+					c.sim.Checker.OnUnreadByClient(m)
+				} else {
+					c.onClientMessage(m)
+				}
+			})
 		}
 		return true
 	}); err != nil {
--- a/internal/emulator/binarystandin/simulation.go
+++ b/internal/emulator/binarystandin/simulation.go
@@ -34,6 +34,7 @@
 	CallerLeaves  float64 // callers that cancel before the answer
 	CallerHangsUp float64 // callers that release an established call
 	ClientCloses  float64 // client connections reset shortly after a setup
+	Forgotten     float64 // writes to connections that the endpoint has forgotten: they are lost and answered by a reset
 	Blocked       float64 // writes to endpoints that are delayed, as by a full socket buffer
 	Fragmented    bool    // messages reach the gateway in pieces
 	Drains        float64 // endpoints set to drain, a second
@@ -60,6 +61,7 @@
 	conns        []*conn // of clients
 	byConn       map[*binarygateway.Conn]*conn
 	dialed       int
+	accepted     int
 	calls        uint64
 	serial       uint32
 	destinations int
@@ -227,7 +229,8 @@
 	sim.after(-math.Log(1-sim.Random())*1000/sim.Rate, sim.sendSetup)
 	sim.conns = slices.DeleteFunc(sim.conns, func(c *conn) bool { return c.closed })
 	if len(sim.conns) < 3 {
-		c := &conn{sim: sim}
+		sim.accepted++
+		c := &conn{sim: sim, connNumber: sim.accepted}
 		c.gatewayConn = sim.Gateway.OnAccepted(sim.now, c, netip.MustParseAddr("127.0.0.9"))
 		if c.gatewayConn == nil {
 			return
--- a/internal/gateway/binaryserver/server.go
+++ b/internal/gateway/binaryserver/server.go
@@ -59,6 +59,8 @@
 	startedAt  time.Time
 
 	metricsLoggedAt float64
+	overflowsLogged binarygateway.Overflows // at the time of the latest warning about them
+	warnedAt        float64
 	lastBatchAt     float64 // 0: no batch yet, or a stall has just been detected
 
 	stage               shutdown.Stage
@@ -187,6 +189,7 @@
 	s.advanceShutdown(now)
 	s.gateway.Step(now)
 	s.lastBatchAt = s.now()
+	s.warnOfOverflows(now)
 	if now-s.metricsLoggedAt > metricsInterval {
 		s.metricsLoggedAt = now
 		s.logMetrics("metrics")
@@ -234,6 +237,16 @@
 	return stalled
 }
 
+// warnOfOverflows logs that limits were reached and something was given up, at most once in each interval of metrics.
+func (s *Server) warnOfOverflows(now float64) {
+	overflows := s.gateway.Overflows()
+	if overflows == s.overflowsLogged || now-s.warnedAt < metricsInterval {
+		return
+	}
+	s.overflowsLogged, s.warnedAt = overflows, now
+	s.log.Warn().Interface("given_up", overflows).Msg("a limit was reached")
+}
+
 // logMetrics writes the metrics to the log.
 func (s *Server) logMetrics(message string) {
 	pending, established := s.gateway.InProgress()
--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -195,7 +195,7 @@
 		u.releaseCall(c, cause)
 	} else {
 		u.rememberEnd(c.id, cause) // in case the release is lost with the client's connection
-		c.client.sendRelease(c.conn, newPendingRelease(g.Now, c.id, cause))
+		c.client.sendRelease(c.conn, c.id, cause)
 	}
 	if c.Session == nil {
 		g.resumedCalls--
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"cobaltpier/internal/protocol/binarymessage"
+	"cobaltpier/internal/protocol/delivery"
 	"cobaltpier/internal/routing"
 )
 
@@ -12,25 +13,17 @@
 type client struct {
 	gateway          *Gateway
 	conns            []*Conn
-	pendingReleases  []pendingRelease
+	outbox           *delivery.Outbox[*Conn] // releases of its calls
 	establishedCalls int
 }
 
-// pendingRelease is a release that waits until its client has a connection.
-type pendingRelease struct {
-	callID    uint64
-	cause     byte
-	expiresAt float64
-}
-
-func newPendingRelease(now float64, callID uint64, cause byte) pendingRelease {
-	return pendingRelease{callID, cause, now + releaseRetention}
-}
-
 const (
-	releaseRetention   = 20000.0 // ms: a client that reconnects at all does so sooner
-	maxPendingReleases = 65536   // of all clients together
-	maxResumedCalls    = 8192    // bounds the state that clients can create by resuming calls
+	clientReleaseRetention = 20000.0 // ms: a client that reconnects at all does so sooner
+	// clientConfirmAfter is the time in ms in which a client reads what was sent. A client that closes an idle
+	// connection does so later.
+	clientConfirmAfter = 1000.0
+	maxClientReleases  = 65536 // owed to all clients together
+	maxResumedCalls    = 8192  // bounds the state that clients can create by resuming calls
 )
 
 // onMessage implements peer.
@@ -46,11 +39,16 @@
 		c.onRelease(message)
 	case binarymessage.HealthCheck:
 		conn.receivedMessage = true
-		if len(g.pendingChecks) < maxPendingChecks {
-			g.pendingChecks = append(g.pendingChecks, healthCheck{conn, message.CallID()})
+		if len(g.pendingChecks) >= maxPendingChecks { // not ready yet, and flooded
+			g.Metrics.ChecksFailedAtOnce++
+			conn.send(binarymessage.Append(nil, binarymessage.HealthResult, message.CallID(), binarymessage.HealthFailed))
+			return
 		}
+		g.pendingChecks = append(g.pendingChecks, healthCheck{conn, message.CallID()})
 		g.updateReadiness()
-	case binarymessage.ReleaseComplete, binarymessage.Progress, binarymessage.HealthResult, binarymessage.LoadState,
+	case binarymessage.ReleaseComplete:
+		c.outbox.Confirm(conn, message.CallID())
+	case binarymessage.Progress, binarymessage.HealthResult, binarymessage.LoadState,
 		binarymessage.Answer:
 		// allowed, but ignored
 	default:
@@ -121,12 +119,17 @@
 		return
 	}
 	u := g.upstreams[g.Endpoints.ByID(endpointID)]
-	if u == nil || g.resumedCalls >= maxResumedCalls {
-		c.sendRelease(conn, newPendingRelease(g.Now, id, binarymessage.Failure))
+	if u == nil {
+		c.sendRelease(conn, id, binarymessage.Failure)
 		return
 	}
 	if cause, ended := u.ended.cause(id); ended {
-		c.sendRelease(conn, newPendingRelease(g.Now, id, cause))
+		c.sendRelease(conn, id, cause)
+		return
+	}
+	if g.resumedCalls >= maxResumedCalls { // not released at the endpoint: the IDs may be made up
+		g.Metrics.ResumesRefused++
+		c.sendRelease(conn, id, binarymessage.Failure)
 		return
 	}
 	g.Metrics.CallsResumed++
@@ -150,8 +153,16 @@
 	}
 }
 
-// onClosed implements peer. Pending calls of the closed connection are given up; established calls continue.
+// onClosed implements peer. Pending calls of the closed connection are given up; established calls continue, and
+// releases that may be lost with it are sent again.
 func (c *client) onClosed(conn *Conn, _ CloseReason) {
+	c.removeConn(conn)
+	for _, release := range c.outbox.ConnEnded(conn, c.gateway.Now) {
+		c.deliver(release, nil)
+	}
+}
+
+func (c *client) removeConn(conn *Conn) {
 	g := c.gateway
 	c.conns = slices.DeleteFunc(c.conns, func(other *Conn) bool { return other == conn })
 	g.clientConns = slices.DeleteFunc(g.clientConns, func(other *Conn) bool { return other == conn })
@@ -177,41 +188,24 @@
 
 func compareByID(a, b *call) int { return cmp.Compare(a.id, b.id) }
 
-// sendRelease sends a release to the client: on the given connection if it is open, else on the most recently used one.
-// If there is none, the release waits for the client's next connection.
-func (c *client) sendRelease(conn *Conn, release pendingRelease) {
+// sendRelease sends a release to the client, on the given connection if it is open.
+func (c *client) sendRelease(conn *Conn, callID uint64, cause byte) {
+	c.outbox.Owe()
+	c.deliver(&delivery.Release{CallID: callID, Cause: cause, ExpiresAt: c.gateway.Now + clientReleaseRetention}, conn)
+}
+
+// deliver sends a release on the given connection if it is open, else on the most recently used one. If there is none,
+// the release waits for the client's next connection.
+func (c *client) deliver(release *delivery.Release, conn *Conn) {
 	if conn == nil || conn.closed {
 		conn = c.lastUsedConn()
 	}
 	if conn == nil {
-		c.deferRelease(release)
-		return
+		c.outbox.Wait(release)
+	} else {
+		conn.enqueueRelease(release, c.outbox)
 	}
-	conn.enqueue(outgoingMessage{
-		data:   releaseMessage(release.callID, release.cause),
-		onLost: func() { c.sendRelease(nil, release) },
-	})
-}
-
-// deferRelease keeps a release for the client's next connection. Beyond the limit, the client with the most releases
-// loses its oldest.
-func (c *client) deferRelease(release pendingRelease) {
-	g := c.gateway
-	g.Metrics.ReleasesDeferred++
-	c.pendingReleases = append(c.pendingReleases, release)
-	g.pendingReleases++
-	if g.pendingReleases <= maxPendingReleases {
-		return
-	}
-	most := c
-	for _, other := range g.clients {
-		if len(other.pendingReleases) > len(most.pendingReleases) {
-			most = other
-		}
-	}
-	most.pendingReleases = most.pendingReleases[1:]
-	g.pendingReleases--
-	g.Metrics.ReleasesDropped++
+	c.gateway.limitClientReleases()
 }
 
 func (c *client) lastUsedConn() *Conn {
@@ -224,25 +218,28 @@
 	return latest
 }
 
-// sendPendingReleases sends the releases that waited for a connection.
-func (c *client) sendPendingReleases(conn *Conn) {
-	releases := c.pendingReleases
-	c.pendingReleases = nil
-	c.gateway.pendingReleases -= len(releases)
-	for _, release := range releases {
-		c.sendRelease(conn, release)
+// sendWaitingReleases sends the releases that waited for a connection.
+func (c *client) sendWaitingReleases(conn *Conn) {
+	for _, release := range c.outbox.TakeWaiting() {
+		c.deliver(release, conn)
 	}
 }
 
-// dropExpiredReleases drops releases whose client has not reconnected in time.
-func (c *client) dropExpiredReleases(now float64) {
-	before := len(c.pendingReleases)
-	c.pendingReleases = slices.DeleteFunc(c.pendingReleases, func(release pendingRelease) bool {
-		return release.expiresAt < now
-	})
-	expired := before - len(c.pendingReleases)
-	c.gateway.pendingReleases -= expired
-	c.gateway.Metrics.ReleasesDropped += uint64(expired)
+// limitClientReleases keeps the releases that are owed to clients below their limit: the client with the most loses its
+// oldest.
+func (g *Gateway) limitClientReleases() {
+	if !g.clientReleases.Exceeded() {
+		return
+	}
+	var most *client
+	for _, c := range g.clients {
+		if most == nil || c.outbox.Len() > most.outbox.Len() {
+			most = c
+		}
+	}
+	if most != nil {
+		most.outbox.GiveUpOldest()
+	}
 }
 
 func releaseMessage(callID uint64, cause byte) []byte {
--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -31,23 +31,24 @@
 // before them while it had no connection. Beyond the limit the oldest releases are dropped, and counted.
 func TestManyPendingReleases(t *testing.T) {
 	const excess = 1000
-	for calls, dropped := range map[uint64]uint64{10000: 0, maxPendingReleases + excess: excess} {
+	for calls, dropped := range map[uint64]uint64{10000: 0, maxClientReleases + excess: excess} {
 		g := newTestGateway(t)
 		g.gateway.OnClosed(g.now, g.acceptClient().gatewayConn, ClosedReset)
 		owner := g.gateway.clients[clientAddr]
 		for id := uint64(1); id <= calls; id++ {
-			owner.sendRelease(nil, newPendingRelease(g.now, id, binarymessage.Normal))
+			owner.sendRelease(nil, id, binarymessage.Normal)
 		}
 		caller := g.acceptClient()
 		g.step()
 		if sent := uint64(len(caller.messages)); sent != calls-dropped ||
-			g.gateway.Metrics.ReleasesDropped != dropped {
+			g.gateway.Metrics.ClientReleases.Overflowed != dropped {
 			t.Errorf("%d calls ended: %d releases were sent and %d counted as dropped, want %d and %d",
-				calls, sent, g.gateway.Metrics.ReleasesDropped, calls-dropped, dropped)
+				calls, sent, g.gateway.Metrics.ClientReleases.Overflowed, calls-dropped, dropped)
 		}
 		g.expectMessage(caller.lastMessage(calls), binarymessage.Release, binarymessage.Normal)
-		if g.gateway.pendingReleases != 0 {
-			t.Errorf("%d releases count as pending after all were sent", g.gateway.pendingReleases)
+		g.advance(2 * clientConfirmAfter)
+		if held := caller.gatewayConn.client.outbox.Len(); held != 0 {
+			t.Errorf("%d releases are held after all were sent", held)
 		}
 	}
 }
--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -6,6 +6,7 @@
 
 	"cobaltpier/internal/decision/connlimit"
 	"cobaltpier/internal/protocol/binarymessage"
+	"cobaltpier/internal/protocol/delivery"
 )
 
 // Conn is a connection from a client or to an endpoint.
@@ -93,6 +94,15 @@
 	c.scheduleFlush()
 }
 
+// enqueueRelease queues a release that an outbox holds.
+func (c *Conn) enqueueRelease(release *delivery.Release, outbox *delivery.Outbox[*Conn]) {
+	outbox.Put(c, release)
+	c.enqueue(outgoingMessage{
+		data:   releaseMessage(release.CallID, release.Cause),
+		onSent: func() { outbox.Sent(release, c.gateway.Now) },
+	})
+}
+
 // scheduleFlush marks the connection to be flushed at the end of the batch.
 func (c *Conn) scheduleFlush() {
 	if !c.flushScheduled {
@@ -242,7 +252,8 @@
 	g.Metrics.Accepted++
 	owner := g.clients[address]
 	if owner == nil {
-		owner = &client{gateway: g}
+		outbox := delivery.New[*Conn](&g.Metrics.ClientReleases, &g.clientReleases, clientConfirmAfter)
+		owner = &client{gateway: g, outbox: outbox}
 		g.clients[address] = owner
 	}
 	conn := &Conn{
@@ -262,7 +273,7 @@
 	if conn.closed {
 		return nil
 	}
-	owner.sendPendingReleases(conn)
+	owner.sendWaitingReleases(conn)
 	return conn
 }
 
--- a/internal/protocol/binarygateway/gateway.go
+++ b/internal/protocol/binarygateway/gateway.go
@@ -18,6 +18,7 @@
 	"cobaltpier/internal/detrand"
 	"cobaltpier/internal/protocol/binarymessage"
 	"cobaltpier/internal/protocol/callcontrol"
+	"cobaltpier/internal/protocol/delivery"
 	"cobaltpier/internal/routing"
 )
 
@@ -74,7 +75,8 @@
 	draining      bool
 	randomDraws   uint64 // random numbers drawn so far
 
-	pendingReleases int // releases that wait for a connection of their client
+	clientReleases   delivery.Budget // owed to clients
+	endpointReleases delivery.Budget // owed to endpoints
 }
 
 // healthCheck is a client's unanswered query whether this gateway takes calls.
@@ -107,6 +109,9 @@
 		upstreams:  map[*routing.Endpoint]*upstream{},
 		clients:    map[netip.Addr]*client{},
 		startedAt:  now,
+
+		clientReleases:   delivery.Budget{Limit: maxClientReleases},
+		endpointReleases: delivery.Budget{Limit: maxEndpointReleases},
 	}
 	g.Now = now
 	g.Router = newPolicy(config.Settings, g)
@@ -199,8 +204,8 @@
 		}
 	}
 	for address, client := range g.clients {
-		client.dropExpiredReleases(g.Now)
-		if len(client.conns) == 0 && len(client.pendingReleases) == 0 && client.establishedCalls == 0 {
+		client.outbox.Expire(g.Now)
+		if len(client.conns) == 0 && client.outbox.Len() == 0 && client.establishedCalls == 0 {
 			delete(g.clients, address)
 		}
 	}
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -1,5 +1,7 @@
 package binarygateway
 
+import "cobaltpier/internal/protocol/delivery"
+
 // Metrics are counters since the start of the gateway, as written to its log.
 type Metrics struct {
 	// client connections
@@ -10,6 +12,9 @@
 	InvalidRequests uint64 `json:"invalid_requests"` // well-formed messages with invalid content
 	Duplicates      uint64 `json:"duplicates"`       // setups or answers under an ID that is in use
 
+	// ChecksFailedAtOnce counts health checks that failed because too many others waited until the gateway was ready.
+	ChecksFailedAtOnce uint64 `json:"checks_failed_at_once"`
+
 	// connections to endpoints
 	Dialed             uint64 `json:"dialed"`
 	Connected          uint64 `json:"connected"`
@@ -26,16 +31,15 @@
 
 	// established calls
 	CallsCut         uint64 `json:"calls_cut"`
-	CallsResumed     uint64 `json:"calls_resumed"`     // taken over from an earlier process
-	ReleasesDeferred uint64 `json:"releases_deferred"` // releases that had to wait for a client connection
-	ReleasesDropped  uint64 `json:"releases_dropped"`  // their clients did not reconnect in time, or too many wait
-	LateAnswers      uint64 `json:"late_answers"`      // answers that crossed a cancel
+	CallsResumed     uint64 `json:"calls_resumed"`   // taken over from an earlier process
+	ResumesRefused   uint64 `json:"resumes_refused"` // released at once: too many are taken over
+	LateAnswers      uint64 `json:"late_answers"`    // answers that crossed a cancel
 	EndpointsDead    uint64 `json:"endpoints_dead"`
 	ReleasesByCaller uint64 `json:"releases_by_caller"`
 
-	// releases towards endpoints that had to wait for a connection, and those of them that were dropped
-	EndpointReleasesDeferred uint64 `json:"endpoint_releases_deferred"`
-	EndpointReleasesDropped  uint64 `json:"endpoint_releases_dropped"`
+	// releases that were owed to clients and to endpoints
+	ClientReleases   delivery.Counts `json:"client_releases"`
+	EndpointReleases delivery.Counts `json:"endpoint_releases"`
 }
 
 // OpenCounts are the numbers of objects that a gateway holds.
@@ -98,3 +102,23 @@
 	}
 	return unsent, len(g.clientConns)
 }
+
+// Overflows are counters of what was given up because a limit was reached.
+type Overflows struct {
+	ClientReleases   uint64 `json:"client_releases"`   // given up, the oldest of the client with the most first
+	EndpointReleases uint64 `json:"endpoint_releases"` // given up, the oldest first
+	EndedCalls       uint64 `json:"ended_calls"`       // forgotten early, the oldest first
+	HealthChecks     uint64 `json:"health_checks"`     // failed at once, the newest
+	ResumedCalls     uint64 `json:"resumed_calls"`     // released, the newest
+}
+
+// Overflows returns these counters.
+func (g *Gateway) Overflows() Overflows {
+	return Overflows{
+		ClientReleases:   g.Metrics.ClientReleases.Overflowed,
+		EndpointReleases: g.Metrics.EndpointReleases.Overflowed,
+		EndedCalls:       g.Metrics.EndedCallsDropped,
+		HealthChecks:     g.Metrics.ChecksFailedAtOnce,
+		ResumedCalls:     g.Metrics.ResumesRefused,
+	}
+}
--- a/internal/protocol/binarygateway/outboundleg.go
+++ b/internal/protocol/binarygateway/outboundleg.go
@@ -18,7 +18,9 @@
 	conn     *Conn // nil while it waits for a connection
 	timeout  *timerqueue.Timer
 	sent     bool // its setup was handed to the driver
-	ended    bool // its end has been reported, or is about to be
+	// releaseMark stands for the releases that were sent on the connection before the setup.
+	releaseMark uint64
+	ended       bool // its end has been reported, or is about to be
 	// answeredLate is set when an answer to an earlier, canceled attempt of the call arrives from this endpoint.
 	// The call established by that answer is released once this leg has ended without an answer.
 	answeredLate bool
@@ -71,33 +73,16 @@
 	l.releaseSetup(l.conn, outcome)
 }
 
-// releaseSetup releases the setup at the endpoint on the given connection. The leg ends with the given outcome once the
-// release has been sent: no later attempt of the call may overtake it.
+// releaseSetup releases the setup at the endpoint, on the given connection if it is open. The leg ends with the given
+// outcome once the release has been sent: no later attempt of the call may overtake it. If no connection accepts
+// writes, the release waits for the next one, but the leg ends at once.
 func (l *outboundLeg) releaseSetup(conn *Conn, outcome routing.Outcome) {
-	u, g := l.upstream, l.upstream.gateway
-	u.expectLateAnswer(l.call.id)
-	finish := func() { g.Timers.Schedule(g.Now, func() { l.finish(outcome) }) }
-	conn.enqueue(outgoingMessage{
-		data:   releaseMessage(l.call.id, binarymessage.Normal),
-		onSent: finish,
-		onLost: func() { l.releaseLostSetup(outcome) },
+	g := l.upstream.gateway
+	l.upstream.sendRelease(conn, l.call.id, binarymessage.Normal, func() {
+		g.Timers.Schedule(g.Now, func() { l.finish(outcome) })
 	})
 }
 
-// releaseLostSetup releases a setup whose connection has ended: an answer to it may have been lost unread, and the call
-// would remain established at the endpoint under the ID of the next attempt. If no other connection accepts writes, the
-// release waits for the next one, but the leg ends at once.
-func (l *outboundLeg) releaseLostSetup(outcome routing.Outcome) {
-	u, g := l.upstream, l.upstream.gateway
-	if conn := u.anyConn(); conn != nil && !conn.writePending {
-		l.releaseSetup(conn, outcome)
-		return
-	}
-	u.expectLateAnswer(l.call.id)
-	u.deferRelease(u.newRelease(l.call.id, binarymessage.Normal))
-	g.Timers.Schedule(g.Now, func() { l.finish(outcome) })
-}
-
 // withdraw removes the setup from its queue. It returns false if the setup was already sent.
 func (l *outboundLeg) withdraw() bool {
 	if l.conn != nil {
@@ -114,8 +99,8 @@
 	}
 	g := l.upstream.gateway
 	l.ended = true
-	if l.sent {
-		l.releaseLostSetup(routing.Reset)
+	if l.sent { // an answer may have been lost unread, and the call would remain established at the endpoint
+		l.releaseSetup(nil, routing.Reset)
 		return
 	}
 	g.Timers.Schedule(g.Now, func() { l.finish(routing.NotSent) })
--- a/internal/protocol/binarygateway/simulation_test.go
+++ b/internal/protocol/binarygateway/simulation_test.go
@@ -95,6 +95,7 @@
 		CallerLeaves:  faultProbability(t, "caller leaves", 0.5),
 		CallerHangsUp: faultProbability(t, "caller hangs up", 0.5),
 		ClientCloses:  faultProbability(t, "client closes", 0.1),
+		Forgotten:     faultProbability(t, "forgotten", 0.05),
 		Blocked:       faultProbability(t, "blocked", 0.2),
 		Fragmented:    rapid.Bool().Draw(t, "fragmented"),
 		Drains:        faultProbability(t, "drains", 0.3),
@@ -142,6 +143,23 @@
 	})
 }
 
+// TestCallerReleasesDelivered guards against calls that go on at their endpoints after their callers have released
+// them: the release is written to a connection that the endpoint has forgotten.
+func TestCallerReleasesDelivered(t *testing.T) {
+	for seed := range uint64(6) {
+		simulation := newSimulation(seed, newRouter, 0)
+		simulation.HoldingTime = 30000
+		simulation.Faults = binarystandin.Faults{CallerHangsUp: 1, Forgotten: 0.1}
+		simulation.StopAt = 20000
+		simulation.Run(40000)
+		for i, f := range simulation.Checker.Findings {
+			if i < 3 {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+	}
+}
+
 // TestReleasesAfterWrongLength guards against calls that are never released towards their callers: the length field of
 // an answer is too large, and the releases that follow on that connection are taken for a part of it.
 func TestReleasesAfterWrongLength(t *testing.T) {
--- a/internal/protocol/binarygateway/upstream.go
+++ b/internal/protocol/binarygateway/upstream.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 
+	"cobaltpier/internal/protocol/delivery"
 	"cobaltpier/internal/routing"
 	"cobaltpier/internal/timerqueue"
 )
@@ -29,10 +30,10 @@
 	nextConn    uint64         // rotates among equally used connections
 	waitingLegs []*outboundLeg // setups that wait for a connection
 
-	established     map[uint64]*call
-	ended           endedCalls
-	canceled        map[uint64]float64 // expiry times of canceled setups whose answer may still come
-	pendingReleases []endpointRelease  // wait for a connection to the endpoint
+	established map[uint64]*call
+	ended       endedCalls
+	canceled    map[uint64]float64      // expiry times of canceled setups whose answer may still come
+	outbox      *delivery.Outbox[*Conn] // releases of calls and of setups
 	// unreadUntilDial is the number of dials at the time when a connection ended on which the endpoint may have sent
 	// messages that were not read. It repeats releases on the next connection that is opened. 0: that was opened since.
 	unreadUntilDial uint64
@@ -55,6 +56,7 @@
 		startedAt:      endpoint.StartedAt,
 		established:    map[uint64]*call{},
 		canceled:       map[uint64]float64{},
+		outbox:         delivery.New[*Conn](&g.Metrics.EndpointReleases, &g.endpointReleases, endpointConfirmAfter),
 		lastMessageAt:  g.Now,
 		disconnectedAt: g.Now,
 	}
@@ -78,7 +80,7 @@
 // needsConn reports whether a connection must be kept to the endpoint. A draining endpoint gets no setups, so it needs
 // one only while calls are established there or releases wait.
 func (u *upstream) needsConn() bool {
-	return u.endpoint.State == routing.Ready || len(u.established) > 0 || len(u.pendingReleases) > 0
+	return u.endpoint.State == routing.Ready || len(u.established) > 0 || u.outbox.Waiting() > 0
 }
 
 // maintainConns opens the connections that are kept to the endpoint at all times.
@@ -138,7 +140,7 @@
 	if conn.dialNumber > u.unreadUntilDial {
 		u.unreadUntilDial = 0
 	}
-	u.sendPendingReleases()
+	u.sendWaitingReleases()
 	waiting := u.waitingLegs
 	u.waitingLegs = nil
 	for _, leg := range waiting {
@@ -163,7 +165,7 @@
 		g.Timers.Schedule(g.Now+u.connectTimeout(), leg.onConnectTimeout)
 		return
 	}
-	leg.conn = conn
+	leg.conn, leg.releaseMark = conn, u.outbox.Mark()
 	conn.legs = append(conn.legs, leg)
 	conn.enqueue(outgoingMessage{data: leg.setupMessage(), leg: leg})
 }
@@ -199,6 +201,9 @@
 	for _, leg := range legs {
 		leg.onConnClosed()
 	}
+	for _, release := range u.outbox.ConnEnded(conn, u.gateway.Now) {
+		u.deliverAgain(release)
+	}
 	if u.gateway.upstreams[u.endpoint] != u {
 		return
 	}
@@ -320,6 +325,7 @@
 	for _, conn := range slices.Clone(u.conns) {
 		conn.close()
 	}
+	u.outbox.Clear()
 	u.gateway.Timers.Cancel(u.reconnectTimer)
 }
 
--- a/internal/protocol/binarygateway/upstreamliveness.go
+++ b/internal/protocol/binarygateway/upstreamliveness.go
@@ -50,9 +50,7 @@
 		}
 	}
 	u.ended.dropExpired(now)
-	u.pendingReleases = slices.DeleteFunc(u.pendingReleases, func(release endpointRelease) bool {
-		return release.expiresAt < now
-	})
+	u.outbox.Expire(now)
 }
 
 // isBusy reports whether the endpoint has established calls or setups in flight.
--- a/internal/protocol/binarygateway/upstreammessages.go
+++ b/internal/protocol/binarygateway/upstreammessages.go
@@ -27,7 +27,9 @@
 		u.onAnswer(conn, message)
 	case binarymessage.Release:
 		u.onRelease(conn, message)
-	case binarymessage.Progress, binarymessage.ReleaseComplete, binarymessage.HealthResult, binarymessage.HealthCheck,
+	case binarymessage.ReleaseComplete:
+		u.outbox.Confirm(conn, message.CallID())
+	case binarymessage.Progress, binarymessage.HealthResult, binarymessage.HealthCheck,
 		binarymessage.Setup:
 		// allowed, but ignored
 	default:
@@ -50,10 +52,11 @@
 		u.onLateAnswer(conn, id, leg)
 		return
 	}
+	u.outbox.ConfirmUpTo(conn, leg.releaseMark)
 	description, ok := message.Get(binarymessage.Description)
 	if !ok { // established at the endpoint, but no valid answer can be sent to the caller
 		g.Metrics.ProtocolErrors++
-		u.sendRelease(u.newRelease(id, binarymessage.Normal), conn)
+		u.sendRelease(conn, id, binarymessage.Normal, nil)
 		leg.finish(routing.Failed)
 		return
 	}
@@ -92,6 +95,7 @@
 	g, id, cause := u.gateway, message.CallID(), message.Cause()
 	reported, complete := applyLoadReport(u.endpoint, message)
 	if leg := conn.legOf(id); leg != nil && leg.attempt != nil && leg.sent {
+		u.outbox.ConfirmUpTo(conn, leg.releaseMark)
 		u.onSetupReleased(leg, message, complete)
 		return
 	}
--- a/internal/protocol/binarygateway/upstreamreleases.go
+++ b/internal/protocol/binarygateway/upstreamreleases.go
@@ -1,108 +1,100 @@
 package binarygateway
 
-import "cobaltpier/internal/protocol/binarymessage"
+import (
+	"cobaltpier/internal/protocol/binarymessage"
+	"cobaltpier/internal/protocol/delivery"
+)
 
-// endpointRelease is a release towards an endpoint: of an established call, or of a setup that may have been executed.
-type endpointRelease struct {
-	callID    uint64
-	cause     byte
-	expiresAt float64
-	onSent    func() // may be nil
-}
-
-// maxPendingEndpointReleases limits the releases towards one endpoint that wait for a connection.
-const maxPendingEndpointReleases = 4096
+const (
+	// endpointConfirmAfter is the time in ms in which a connection to an endpoint that does not read ends: the endpoint
+	// counts as dead sooner.
+	endpointConfirmAfter = 10000.0
+	maxEndpointReleases  = 65536 // owed to all endpoints together
+)
 
 // releaseCall sends the release of an established call to the endpoint.
 func (u *upstream) releaseCall(call *call, cause byte) {
 	if cause == 0 {
 		cause = binarymessage.Normal
 	}
-	u.expectLateAnswer(call.id)
-	u.sendRelease(u.newRelease(call.id, cause), call.upstreamConn)
+	u.sendRelease(call.upstreamConn, call.id, cause, nil)
 }
 
 // releaseLateAnswer releases a call that the late answer to an earlier attempt has established. That attempt ends when
-// the release is sent, so the hold-off of rule 5 begins anew then.
+// the release is sent: the hold-off of rule 5 begins anew then.
 func (u *upstream) releaseLateAnswer(callID uint64, conn *Conn) {
-	g := u.gateway
-	g.Metrics.LateAnswers++
-	startHoldOff := func() {
-		if call := g.calls[callID]; call != nil && call.Session != nil {
-			call.StartHoldOff()
-		}
-	}
-	startHoldOff() // until the release is sent
-	release := u.newRelease(callID, binarymessage.Normal)
-	release.onSent = startHoldOff
-	u.sendRelease(release, conn)
+	u.gateway.Metrics.LateAnswers++
+	u.startHoldOff(callID) // until the release is sent
+	u.sendRelease(conn, callID, binarymessage.Normal, func() { u.startHoldOff(callID) })
 }
 
-// expectLateAnswer records that an answer to a setup that this gateway has given up may still come.
-func (u *upstream) expectLateAnswer(callID uint64) {
-	u.canceled[callID] = u.gateway.Now + lateAnswerRetention
+// startHoldOff begins the hold-off of a pending call anew: an earlier attempt at this endpoint ends only now.
+func (u *upstream) startHoldOff(callID uint64) {
+	if call := u.gateway.calls[callID]; call != nil && call.Session != nil {
+		call.StartHoldOff()
+	}
 }
 
-func (u *upstream) newRelease(callID uint64, cause byte) endpointRelease {
-	return endpointRelease{callID: callID, cause: cause, expiresAt: u.gateway.Now + lateAnswerRetention}
+// sendRelease sends the release of a call or of a setup, on the given connection if it is open. onSent may be nil; it
+// is called once the release is sent, or waits for a connection.
+func (u *upstream) sendRelease(conn *Conn, callID uint64, cause byte, onSent func()) {
+	expiresAt := u.gateway.Now + lateAnswerRetention
+	u.canceled[callID] = expiresAt // an answer may still come
+	u.outbox.Owe()
+	u.deliver(&delivery.Release{CallID: callID, Cause: cause, ExpiresAt: expiresAt, OnSent: onSent}, conn)
 }
 
-// sendRelease sends a release on the given connection if it is open, else on any other. If none is established, the
-// release waits for the next one.
-func (u *upstream) sendRelease(release endpointRelease, conn *Conn) {
+// deliver sends a release on the given connection if it is open, else on another that accepts writes. If there is none,
+// the release waits for the next one.
+func (u *upstream) deliver(release *delivery.Release, conn *Conn) {
 	if conn == nil || conn.closed {
-		conn = u.anyConn()
+		conn = u.writableConn()
 	}
 	if conn == nil {
-		u.deferRelease(release)
-		return
+		u.outbox.Wait(release)
+		u.scheduleReconnect()
+	} else {
+		conn.enqueueRelease(release, u.outbox)
 	}
-	conn.enqueue(outgoingMessage{
-		data:   releaseMessage(release.callID, release.cause),
-		onSent: release.onSent,
-		onLost: func() { u.resendRelease(release) },
-	})
+	u.gateway.limitEndpointReleases(u)
 }
 
-// resendRelease sends a release again that was lost unsent with its connection, unless it has expired or a later
-// attempt uses the ID at this endpoint.
-func (u *upstream) resendRelease(release endpointRelease) {
-	reused := u.established[release.callID] != nil || u.activeLeg(release.callID) != nil
+// deliverAgain sends a release again that may be lost with its connection, or that has waited, unless a later attempt
+// uses the ID at this endpoint.
+func (u *upstream) deliverAgain(release *delivery.Release) {
+	reused := u.established[release.CallID] != nil || u.activeLeg(release.CallID) != nil
 	removed := u.gateway.upstreams[u.endpoint] != u
-	if reused || removed || release.expiresAt < u.gateway.Now {
+	if reused || removed {
+		release.Drop()
 		return
 	}
-	u.sendRelease(release, nil)
-}
-
-// deferRelease keeps a release for the next connection. Beyond the limit the oldest is dropped.
-func (u *upstream) deferRelease(release endpointRelease) {
-	metrics := &u.gateway.Metrics
-	metrics.EndpointReleasesDeferred++
-	if len(u.pendingReleases) >= maxPendingEndpointReleases {
-		metrics.EndpointReleasesDropped++
-		u.pendingReleases = u.pendingReleases[1:]
+	u.startHoldOff(release.CallID)
+	if release.OnSent == nil {
+		release.OnSent = func() { u.startHoldOff(release.CallID) }
 	}
-	u.pendingReleases = append(u.pendingReleases, release)
-	u.scheduleReconnect()
+	u.deliver(release, nil)
 }
 
-// sendPendingReleases sends the releases that waited for a connection.
-func (u *upstream) sendPendingReleases() {
-	releases := u.pendingReleases
-	u.pendingReleases = nil
-	for _, release := range releases {
-		u.resendRelease(release)
+// sendWaitingReleases sends the releases that waited for a connection.
+func (u *upstream) sendWaitingReleases() {
+	for _, release := range u.outbox.TakeWaiting() {
+		u.deliverAgain(release)
 	}
 }
 
-// anyConn returns an established connection, preferring one that accepts writes. It returns nil if there is none.
-func (u *upstream) anyConn() *Conn {
-	var found *Conn
+// writableConn returns an established connection that accepts writes, or nil if there is none.
+func (u *upstream) writableConn() *Conn {
 	for _, conn := range u.conns {
-		if conn.connected && !conn.closed && (found == nil || found.writePending && !conn.writePending) {
-			found = conn
+		if conn.connected && !conn.closed && !conn.writePending {
+			return conn
 		}
 	}
-	return found
+	return nil
+}
+
+// limitEndpointReleases keeps the releases that are owed to endpoints below their limit.
+func (g *Gateway) limitEndpointReleases(u *upstream) {
+	if g.endpointReleases.Exceeded() {
+		u.outbox.GiveUpOldest()
+	}
 }
