Endpoint backoff: end it with the first message on a new connection

Trace: dials fail while an endpoint is silent, one that a setup needs succeeds and brings a message; its connection is lost to a wrong length at 8,500 ms, and the next is dialed at 10,186 ms, because the time of the next dial and its timer stood from the failed dials before.

Change: the first message of an endpoint on a connection ends the backoff with its timer, as it has set the count of failures to 0 before.

--- a/internal/protocol/binarygateway/upstream.go
+++ b/internal/protocol/binarygateway/upstream.go
@@ -263,6 +263,13 @@
 	u.retryAt = u.gateway.Now + backoff*(0.5+u.gateway.random())
 }
 
+// endBackOff allows dials at once: the endpoint works.
+func (u *upstream) endBackOff() {
+	u.failedDials, u.retryAt = 0, 0
+	u.gateway.Timers.Cancel(u.reconnectTimer)
+	u.reconnectTimer = nil
+}
+
 // scheduleReconnect schedules a dial after the backoff.
 func (u *upstream) scheduleReconnect() {
 	g := u.gateway
--- a/internal/protocol/binarygateway/upstream_test.go
+++ b/internal/protocol/binarygateway/upstream_test.go
@@ -215,6 +215,26 @@
 	}
 }
 
+// TestBackoffEndsWithMessage guards against a release that comes too late because a dial failed long before: the endpoint
+// works again, a connection to it is lost, and the next dial must not wait for the old backoff.
+func TestBackoffEndsWithMessage(t *testing.T) {
+	g := newTestGateway(t)
+	g.holdDials = true
+	g.gateway.OnClosed(g.now, g.connsTo(addrA)[0].gatewayConn, ClosedNormally)
+	g.refuseDials(addrA, 5000) // the backoff grows to 2 s
+	g.holdDials = false
+	g.policy.attemptOrder = []int{0}
+	g.deliverSetup(g.acceptClient(), 7) // dials at once
+	conn := g.setupConn(7)
+	g.deliver(conn, binarymessage.Answer, 7, answerDescription)
+	before := len(g.dialed)
+	g.gateway.OnClosed(g.now, conn.gatewayConn, ClosedReset)
+	g.advance(250)
+	if n := len(g.connsAfter(before)); n != 1 {
+		t.Errorf("%d connections were opened within 250 ms after the loss, want 1", n)
+	}
+}
+
 // TestEndpointProcessDies: connections that are reset, followed by a refused dial, show that the endpoint's process
 // has died. The calls there are released to their callers at once.
 func TestEndpointProcessDies(t *testing.T) {
--- a/internal/protocol/binarygateway/upstreammessages.go
+++ b/internal/protocol/binarygateway/upstreammessages.go
@@ -16,7 +16,8 @@
 	g := u.gateway
 	u.lastMessageAt, u.unansweredDials = g.Now, 0
 	if !conn.endpointSentMessage {
-		conn.endpointSentMessage, u.failedDials = true, 0
+		conn.endpointSentMessage = true
+		u.endBackOff()
 	}
 	switch message.Type() {
 	case binarymessage.LoadState:
