Endpoint releases: none for an ID whose next attempt waits for a connection

Trace: the release of a canceled setup is sent again when its connection is lost; the call's next attempt waits for a connection to the endpoint and is set up 1.2 ms later, the release is delayed by a blocked write and cuts the new call. An attempt that waits counts now as one that uses the ID, as one on a connection has.

--- a/internal/protocol/binarygateway/upstreamreleases.go
+++ b/internal/protocol/binarygateway/upstreamreleases.go
@@ -1,6 +1,8 @@
 package binarygateway
 
 import (
+	"slices"
+
 	"cobaltpier/internal/protocol/binarymessage"
 	"cobaltpier/internal/protocol/delivery"
 )
@@ -62,9 +64,8 @@
 // deliverAgain sends a release again that may be lost with its connection, or that has waited, unless a later attempt
 // uses the ID at this endpoint.
 func (u *upstream) deliverAgain(release *delivery.Release) {
-	reused := u.established[release.CallID] != nil || u.activeLeg(release.CallID) != nil
 	removed := u.gateway.upstreams[u.endpoint] != u
-	if reused || removed {
+	if removed || u.usesID(release.CallID) {
 		release.Drop()
 		return
 	}
@@ -75,6 +76,12 @@
 	u.deliver(release, nil)
 }
 
+// usesID reports whether a call is established at the endpoint under an ID, or an attempt of it is on its way there.
+func (u *upstream) usesID(callID uint64) bool {
+	waits := func(leg *outboundLeg) bool { return leg.call.id == callID && !leg.ended }
+	return u.established[callID] != nil || u.activeLeg(callID) != nil || slices.ContainsFunc(u.waitingLegs, waits)
+}
+
 // sendWaitingReleases sends the releases that waited for a connection.
 func (u *upstream) sendWaitingReleases() {
 	for _, release := range u.outbox.TakeWaiting() {
