Silent endpoint: calls told to be over are released there when it is back

Cause: liveness calls an endpoint dead after 4 s without a message and two dials without an answer, and upstream.markDead ended its calls towards the callers only.

Change: a verdict without a proof (silence, no connection) also owes the endpoint the releases of these calls; delivery.Outbox sends them on the next connection.

Not played on sockets.

--- a/internal/conformance/binaryconformance/checker.go
+++ b/internal/conformance/binaryconformance/checker.go
@@ -3,7 +3,7 @@
 // nothing of the gateway's internal state. Rule 4 concerns all gateways together and is checked by package
 // conformance and on the platform's simulator. Rules 6 to 8 are this package's own: a call that has ended is released
 // towards its caller in time; a call that must not be executed twice is neither attempted again nor rejected once it
-// may have been executed; a call that its caller has released is released at its switch.
+// may have been executed; a call that is over for its caller is released at its switch.
 package binaryconformance
 
 //tally:standin
@@ -22,7 +22,7 @@
 	DrainGrace          float64 // setups may be sent this long after the gateway is told that a switch drains or is gone
 	HoldOff             float64 // no attempt of the call for this long after a time-out, reset or cancel
 	ReleaseWithin       float64 // a call that has ended is released towards its caller within this
-	ReleaseWithinSilent float64 // the same if the switch ended without a message, and for a call released by its caller
+	ReleaseWithinSilent float64 // the same if the switch ended without a message, and for a call that is over for its caller
 	// NonIdempotent holds the classes whose calls must not be executed twice.
 	NonIdempotent map[string]bool
 }
@@ -50,6 +50,7 @@
 	clientConnected bool               // the callers have a connection
 	connectedSince  float64            // since when they have one
 	closedConns     map[int]bool       // the callers' connections that have closed
+	reachableSince  map[string]float64 // by switch: when it was silent last
 }
 
 type call struct {
@@ -66,7 +67,8 @@
 	unreadable   bool    // the switch's release can't be read, and it has not repeated the release
 	released     bool    // released towards the caller, or by it
 	releasedOn   int     // the caller's connection on which it was released
-	hungUpAt     float64 // when its caller released it after the answer, +Inf: it has not
+	releases     int     // towards the caller that were not lost
+	overAt       float64 // when the established call was over for its caller, who released it or was told; +Inf: it is not
 	established  bool
 }
 
@@ -77,7 +79,13 @@
 
 // New returns a checker with the given limits.
 func New(r Rules) *Checker {
-	return &Checker{Rules: r, calls: map[uint64]*call{}, drainingSince: map[string]float64{}, closedConns: map[int]bool{}}
+	return &Checker{
+		Rules:          r,
+		calls:          map[uint64]*call{},
+		drainingSince:  map[string]float64{},
+		closedConns:    map[int]bool{},
+		reachableSince: map[string]float64{},
+	}
 }
 
 func (k *Checker) report(rule int, callID uint64, format string, args ...any) {
@@ -113,7 +121,7 @@
 		}
 		var timeout float64
 		_, _ = fmt.Sscan(m.Text(binarymessage.Timeout), &timeout)
-		k.calls[m.CallID()] = &call{id: m.CallID(), deadline: at + timeout, endedAt: math.Inf(1), hungUpAt: math.Inf(1),
+		k.calls[m.CallID()] = &call{id: m.CallID(), deadline: at + timeout, endedAt: math.Inf(1), overAt: math.Inf(1),
 			idempotent: !k.Rules.NonIdempotent[m.Text(binarymessage.Class)]}
 		k.Setups.SetUps++
 	case binarymessage.Release:
@@ -122,7 +130,7 @@
 		}
 		c.callerGone = true
 		if c.established {
-			c.released, c.hungUpAt = true, math.Min(c.hungUpAt, at)
+			c.released, c.overAt = true, math.Min(c.overAt, at)
 		}
 	}
 }
@@ -180,10 +188,11 @@
 func (k *Checker) onReleaseToClient(c *call, at float64, conn int) {
 	again := c.released && !c.callerGone
 	c.released = true
+	c.releases++
 	if again && !k.closedConns[c.releasedOn] {
 		k.report(1, c.id, "released twice")
 	}
-	c.releasedOn = conn
+	c.releasedOn, c.overAt = conn, math.Min(c.overAt, at)
 	if due := math.Max(c.endedAt, k.connectedSince) + k.Rules.ReleaseWithin; at > due && !again && !c.callerGone {
 		k.report(6, c.id, "ended at %.0f ms, but the release to the caller was %.0f ms late", c.endedAt, at-due)
 	}
@@ -192,9 +201,11 @@
 // OnUnreadByClient reports a message that the gateway wrote to a caller's connection and that was lost with it.
 func (k *Checker) OnUnreadByClient(m binarymessage.Message) {
 	c := k.calls[m.CallID()]
-	if c != nil && m.Type() == binarymessage.Release && c.finalAnswer == binarymessage.Answer && !c.callerGone {
-		c.released = false
+	if c == nil || m.Type() != binarymessage.Release || c.finalAnswer != binarymessage.Answer {
+		return
 	}
+	c.releases--
+	c.released = c.released && (c.callerGone || c.releases > 0)
 }
 
 // checkRejection checks the promise of a rejection: trying again is harmless.
@@ -286,18 +297,19 @@
 				c.holdOffUntil = at + k.Rules.HoldOff
 			}
 		case c.isEstablishedAt(endpoint):
-			k.checkHungUp(c, math.Min(c.endedAt, at))
+			k.checkOver(c, math.Min(c.endedAt, at))
 			c.endedAt = math.Min(c.endedAt, at)
 			c.unreadable = false
 		}
 	}
 }
 
-// checkHungUp checks that a call which was still established at its switch at a time was not released by its caller
-// long before.
-func (k *Checker) checkHungUp(c *call, at float64) {
-	if at > c.hungUpAt+k.Rules.ReleaseWithinSilent {
-		k.report(8, c.id, "established at its switch %.0f ms after its caller released it", at-c.hungUpAt)
+// checkOver checks that a call which was still established at its switch at a time was not over for its caller long
+// before.
+func (k *Checker) checkOver(c *call, at float64) {
+	since := math.Max(c.overAt, k.reachableSince[c.attempts[len(c.attempts)-1].endpoint])
+	if at > since+k.Rules.ReleaseWithinSilent {
+		k.report(8, c.id, "established at its switch %.0f ms after it was over for its caller", at-since)
 	}
 }
 
@@ -325,17 +337,31 @@
 	}
 }
 
-// OnEndpointDied reports that a switch ended without any message; its calls have ended too. An unreadable release can't
-// be repeated any more, so it counts as not sent.
+// OnEndpointDied reports that a switch ended without any message; its calls have ended too.
 func (k *Checker) OnEndpointDied(at float64, endpoint string) {
+	k.OnEndpointSilent(at, endpoint)
 	for _, c := range k.calls {
-		if c.isEstablishedAt(endpoint) && (c.endedAt > at || c.unreadable) {
-			c.endedAt = math.Min(c.endedAt, at) + k.Rules.ReleaseWithinSilent - k.Rules.ReleaseWithin
+		if c.isEstablishedAt(endpoint) && c.endedAt > at {
+			c.endedAt = at + k.Rules.ReleaseWithinSilent - k.Rules.ReleaseWithin
+		}
+	}
+}
+
+// OnEndpointSilent reports that a switch can send nothing for some time. An unreadable release can't be repeated then, so
+// it counts as not sent.
+func (k *Checker) OnEndpointSilent(at float64, endpoint string) {
+	k.now = at
+	for _, c := range k.calls {
+		if c.isEstablishedAt(endpoint) && c.unreadable {
+			c.endedAt += k.Rules.ReleaseWithinSilent - k.Rules.ReleaseWithin
 			c.unreadable = false
 		}
 	}
 }
 
+// OnEndpointReachable reports that a switch that was silent sends and receives again.
+func (k *Checker) OnEndpointReachable(at float64, endpoint string) { k.reachableSince[endpoint] = at }
+
 // Finish checks what can be checked only at the end.
 func (k *Checker) Finish(at float64) {
 	k.now = at
@@ -347,7 +373,7 @@
 	for _, id := range ids {
 		c := k.calls[id]
 		if c.established && math.IsInf(c.endedAt, 1) {
-			k.checkHungUp(c, at)
+			k.checkOver(c, at)
 		}
 		if c.finalAnswer == 0 && !c.callerGone && at > c.deadline+k.Rules.AnswerGrace {
 			k.report(1, id, "no final answer")
--- a/internal/conformance/binaryconformance/checker_test.go
+++ b/internal/conformance/binaryconformance/checker_test.go
@@ -123,6 +123,10 @@
 			cancel("a", 1).wait(9000), 0},
 		"released by the caller alone": {begin().setup().attempt("a", 1).answered("a", 1).answer().hangUp().
 			wait(8100), 8},
+		"told to be over while it stands": {begin().setup().attempt("a", 1).answered("a", 1).answer().release().
+			wait(8100), 8},
+		"told to be over, and released at the switch": {begin().setup().attempt("a", 1).answered("a", 1).answer().
+			release().wait(5000).cancel("a", 1).wait(9000), 0},
 		"ended long after its caller released it": {begin().setup().attempt("a", 1).answered("a", 1).answer().hangUp().
 			wait(8100).released("a", 1, binarymessage.Normal), 8},
 		"an unreadable release": {begin().setup().attempt("a", 1).answered("a", 1).answer().unreadable("a").
--- a/internal/emulator/binarystandin/conn.go
+++ b/internal/emulator/binarystandin/conn.go
@@ -158,7 +158,7 @@
 	endpoint := sim.byAddr[to]
 	sim.after(0.3+sim.Random(), func() {
 		switch {
-		case c.closed || endpoint != nil && endpoint.unreachable && !endpoint.crashed:
+		case c.closed || endpoint != nil && (endpoint.unreachable || endpoint.silent) && !endpoint.crashed:
 			// The connection was closed, or the endpoint does not respond: the connection attempt gets no reply.
 		case endpoint == nil || endpoint.crashed:
 			c.closed = true
--- a/internal/emulator/binarystandin/endpoint.go
+++ b/internal/emulator/binarystandin/endpoint.go
@@ -16,6 +16,7 @@
 	destination int
 	state       routing.State
 	unreachable bool // it does not respond, while its connections stay open
+	silent      bool // it neither sends nor receives for some time, and goes on where it was
 	crashed     bool // its process has ended
 	conns       []*conn
 	established map[uint64]bool  // by call id
@@ -48,6 +49,10 @@
 	if !e.established[r.callID] || e.crashed || e.unreachable {
 		return
 	}
+	if e.silent { // the release is sent when the silence is over
+		e.sim.after(100, func() { e.endCall(c, r) })
+		return
+	}
 	delete(e.established, r.callID)
 	e.repeated = append(e.repeated, r)
 	if c.closed && len(e.conns) > 0 {
@@ -81,6 +86,10 @@
 	if c.closed || e.unreachable || e.crashed {
 		return
 	}
+	if e.silent { // TCP delivers the message when the silence is over, unless the connection is closed before
+		e.sim.after(100, func() { e.onMessage(c, m) })
+		return
+	}
 	switch m.Type() {
 	case binarymessage.Release:
 		delete(e.pending, id)
@@ -104,6 +113,10 @@
 	if c.closed || e.unreachable || e.crashed || e.pending[id] != c && !late {
 		return
 	}
+	if e.silent {
+		e.sim.after(100, func() { e.answer(c, id, late) })
+		return
+	}
 	switch {
 	case sim.happens(faults.Reset):
 		c.reset()
--- a/internal/emulator/binarystandin/simulation.go
+++ b/internal/emulator/binarystandin/simulation.go
@@ -39,6 +39,7 @@
 	Fragmented    bool    // messages reach the gateway in pieces
 	Drains        float64 // endpoints set to drain, a second
 	Crashes       float64 // endpoints that crash, a second
+	Silences      float64 // endpoints that are silent for 6 s, with their calls and connections intact, a second
 	Vanish        float64 // endpoints that stop responding while their connections stay open, a second
 }
 
@@ -171,6 +172,9 @@
 // Now returns the virtual time in ms.
 func (sim *Simulation) Now() float64 { return sim.now }
 
+// silenceDuration is how long an endpoint with the fault Silences is silent, ms.
+const silenceDuration = 6000
+
 // injectFaults makes endpoints drain, crash and stop responding. It runs every 500 ms.
 func (sim *Simulation) injectFaults() {
 	sim.after(500, sim.injectFaults)
@@ -180,12 +184,12 @@
 	}
 	live := 0
 	for _, endpoint := range sim.endpoints {
-		if endpoint.state == routing.Ready && !endpoint.crashed && !endpoint.unreachable {
+		if endpoint.state == routing.Ready && !endpoint.crashed && !endpoint.unreachable && !endpoint.silent {
 			live++
 		}
 	}
 	for _, endpoint := range slices.Clone(sim.endpoints) {
-		if endpoint.state != routing.Ready || endpoint.crashed || endpoint.unreachable || live < 2 {
+		if endpoint.state != routing.Ready || endpoint.crashed || endpoint.unreachable || endpoint.silent || live < 2 {
 			continue
 		}
 		switch {
@@ -207,6 +211,14 @@
 				sim.addEndpoint()
 				sim.sendList()
 			})
+		case sim.happens(f.Silences / 2):
+			live--
+			endpoint.silent = true
+			sim.Checker.OnEndpointSilent(sim.now, endpoint.id)
+			sim.after(silenceDuration, func() {
+				endpoint.silent = false
+				sim.Checker.OnEndpointReachable(sim.now, endpoint.id)
+			})
 		case sim.happens(f.Vanish / 2):
 			live--
 			endpoint.unreachable = true
--- a/internal/protocol/binarygateway/simulation_test.go
+++ b/internal/protocol/binarygateway/simulation_test.go
@@ -100,6 +100,7 @@
 		Fragmented:    rapid.Bool().Draw(t, "fragmented"),
 		Drains:        faultProbability(t, "drains", 0.3),
 		Crashes:       faultProbability(t, "crashes", 0.2),
+		Silences:      faultProbability(t, "silences", 0.2),
 		Vanish:        faultProbability(t, "vanish", 0.2),
 	}
 }
@@ -160,6 +161,26 @@
 	}
 }
 
+// TestSilentEndpointIsToldToo guards against calls that are told to be over and go on at their endpoint: it was silent
+// for so long that it counted as dead.
+func TestSilentEndpointIsToldToo(t *testing.T) {
+	for seed := range uint64(6) {
+		simulation := newSimulation(seed, newRouter, 0)
+		simulation.HoldingTime = 60000
+		simulation.Faults = binarystandin.Faults{Silences: 0.1}
+		simulation.StopAt = 20000
+		simulation.Run(60000)
+		if simulation.Gateway.Metrics.EndpointsDead == 0 {
+			t.Errorf("seed %d: no endpoint counted as dead, want some", seed)
+		}
+		for i, f := range simulation.Checker.Findings {
+			if i < 3 {
+				t.Errorf("seed %d: %v", seed, f)
+			}
+		}
+	}
+}
+
 // TestReleasesAfterWrongLength guards against calls that are never released towards their callers: the length field of
 // an answer is too large, and the releases that follow on that connection are taken for a part of it.
 func TestReleasesAfterWrongLength(t *testing.T) {
--- a/internal/protocol/binarygateway/upstreamliveness.go
+++ b/internal/protocol/binarygateway/upstreamliveness.go
@@ -1,6 +1,7 @@
 package binarygateway
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -20,7 +21,7 @@
 			for _, conn := range slices.Clone(u.conns) {
 				conn.abort()
 			}
-			u.markDead()
+			u.markSilent()
 		case liveness.Suspect:
 			if u.reconnectTimer == nil && u.mayReconnect() && !u.isDialing() {
 				u.freeConnSlot()
@@ -89,6 +90,16 @@
 	u.cutCalls(math.Inf(1))
 }
 
+// markSilent ends the calls of an endpoint that counts as dead without a proof, because their releases would come too
+// late otherwise. It may still be running: then the calls are released there once it can be reached.
+func (u *upstream) markSilent() {
+	calls := slices.Sorted(maps.Keys(u.established))
+	u.markDead()
+	for _, id := range calls {
+		u.sendRelease(nil, id, binarymessage.Failure, nil)
+	}
+}
+
 // cutCalls ends the established calls of processes of the endpoint that were running before the given time.
 func (u *upstream) cutCalls(before float64) {
 	var cut []*call
