--- a/internal/protocol/binarygateway/upstream_test.go
+++ b/internal/protocol/binarygateway/upstream_test.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// TestBackoffEndsWithMessage guards against a release that comes too late because a dial failed long before: the endpoint
-// works again, a connection to it is lost, and the next dial must not wait for the old backoff.
+// TestBackoffEndsWithMessage guards against a release that comes too late because a dial failed long before: the
+// endpoint works again, a connection to it is lost, and the next dial must not wait for the old backoff.
 func TestBackoffEndsWithMessage(t *testing.T) {
 	g := newTestGateway(t)
 	g.holdDials = true
