--- a/internal/conformance/binaryconformance/checker.go
+++ b/internal/conformance/binaryconformance/checker.go
@@ -22,7 +22,7 @@
 	DrainGrace          float64 // setups may be sent this long after the gateway is told that a switch drains or is gone
 	HoldOff             float64 // no attempt of the call for this long after a time-out, reset or cancel
 	ReleaseWithin       float64 // a call that has ended is released towards its caller within this
-	ReleaseWithinSilent float64 // the same if it ended without a message; and for its release at the switch, if over for the caller
+	ReleaseWithinSilent float64 // the same if it ended without a message; and for its release at the switch
 	// NonIdempotent holds the classes whose calls must not be executed twice.
 	NonIdempotent map[string]bool
 }
