TCP streams: read all that a peer sent before it closed the connection

Found while looking for ways in which a release is lost. The library reads three buffers of 16 KB of a connection in a turn and then ends it if the peer has closed, whatever the kernel still holds: an endpoint that repeats thousands of releases in one burst and ends loses those behind 48 KB.

Change: the kernel holds 128 KB of a connection at most (SO_RCVBUF), and a turn of the poller reads as much. More reads alone would let one fast sender keep the poller.

--- a/internal/gateway/reactor/stream.go
+++ b/internal/gateway/reactor/stream.go
@@ -70,7 +70,13 @@
 // dialGrace is added to the timeout of a dial, ms, so that the caller of Dial can apply its own timeout first.
 const dialGrace = 100
 
-const streamReadBufferSize = 16 << 10
+const (
+	streamReadBufferSize = 16 << 10
+	// receiveBufferSize limits what the kernel holds of one connection, in bytes. When a peer closes, the poller reads
+	// no more than maxReads buffers before it ends the connection: they hold all that the kernel can hold.
+	receiveBufferSize = 128 << 10
+	maxReads          = 2*receiveBufferSize/streamReadBufferSize + 1
+)
 
 // ListenTCP listens on an address and runs one poller. At most maxAccepted accepted connections are open at a time;
 // further ones wait in the kernel's queue. dialTimeout is in ms.
@@ -85,7 +91,12 @@
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	// The library's own listener is not used: when descriptors have run out it retries accept without a pause, and it adds
 	// connections to the poller that have been closed in the meantime.
-	s.engine = nbio.NewEngine(nbio.Config{Name: "streams", NPoller: 1, ReadBufferSize: streamReadBufferSize})
+	s.engine = nbio.NewEngine(nbio.Config{
+		Name:                         "streams",
+		NPoller:                      1,
+		ReadBufferSize:               streamReadBufferSize,
+		MaxConnReadTimesPerEventLoop: maxReads,
+	})
 	s.engine.OnData(func(c *nbio.Conn, b []byte) {
 		if stream, ok := c.Session().(*Stream); ok && !stream.closed.Load() {
 			s.reportOpen(stream)
@@ -188,6 +199,9 @@
 // adopt adds a connection to the poller and reports it to the handler only after that: data that is written before
 // could not be buffered when the socket is full, nor counted as flushed.
 func (s *Streams) adopt(stream *Stream, conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(receiveBufferSize) // without it, only more may be lost when the peer closes
+	}
 	c, err := nbio.NBConn(conn)
 	if err != nil {
 		conn.Close()
--- a/internal/gateway/reactor/stream_test.go
+++ b/internal/gateway/reactor/stream_test.go
@@ -394,3 +394,60 @@
 	c.Close()
 	e.waitFor(t, "closed", func() bool { return len(e.closed) == 1 })
 }
+
+// blockingHandler is a recordingHandler whose first Data blocks the poller, as the event queue does when it is full.
+type blockingHandler struct {
+	recordingHandler
+	once    sync.Once
+	blocked chan struct{}
+	unblock chan struct{}
+}
+
+func (h *blockingHandler) Data(s *Stream, b []byte) {
+	h.once.Do(func() {
+		close(h.blocked)
+		<-h.unblock
+	})
+	h.recordingHandler.Data(s, b)
+}
+
+// TestDataBeforeCloseIsRead guards against the loss of what a peer sent before it closed the connection: more data than
+// the poller reads at once waits in the kernel when the close arrives.
+func TestDataBeforeCloseIsRead(t *testing.T) {
+	for range 20 {
+		sent := bytes.Repeat([]byte("release "), 40000)
+		if read := sendAndClose(t, sent); read != len(sent) {
+			t.Fatalf("%d of %d bytes were read before the close was reported", read, len(sent))
+		}
+	}
+}
+
+// sendAndClose sends data to a server whose poller is blocked for a moment, and closes the connection. It returns how
+// many bytes the server read.
+func sendAndClose(t *testing.T, data []byte) int {
+	t.Helper()
+	h := &blockingHandler{blocked: make(chan struct{}), unblock: make(chan struct{})}
+	s, err := ListenTCP(netip.MustParseAddrPort("127.0.0.1:0"), 4, 300, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Local.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write(data[:8]); err != nil {
+		t.Fatal(err)
+	}
+	<-h.blocked
+	go func() {
+		_, _ = c.Write(data[8:]) // a failure shows in the number of bytes
+		c.Close()
+	}()
+	time.Sleep(20 * time.Millisecond) // the data fills the kernel's buffers
+	close(h.unblock)
+	h.waitFor(t, "closed", func() bool { return len(h.closed) == 1 })
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.data.Len()
+}
