--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -26,6 +26,7 @@
 	// endpointUpSince is a time at which the endpoint's process was running already: when the connection was opened on
 	// which the call was set up, or when a call of an earlier process of this gateway was resumed.
 	endpointUpSince float64
+	resumedAt       float64 // of a resumed call
 }
 
 // HasAttempt implements callcontrol.SignalingLeg.
@@ -170,6 +171,10 @@
 	if c.client != conn.client {
 		c.client.establishedCalls--
 		conn.client.establishedCalls++
+		if c.isResumed() {
+			c.client.resumedCalls--
+			conn.client.resumedCalls++
+		}
 		c.client = conn.client
 	}
 	c.conn = conn
@@ -199,6 +204,7 @@
 	}
 	if c.Session == nil {
 		g.resumedCalls--
+		c.client.resumedCalls--
 		return
 	}
 	g.AddEstablished(-1)
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -15,6 +15,8 @@
 	conns            []*Conn
 	outbox           *delivery.Outbox[*Conn] // releases of its calls
 	establishedCalls int
+	resumedCalls     int // established calls that were set up by an earlier process
+	disconnectedAt   float64
 }
 
 const (
@@ -23,7 +25,6 @@
 	// connection does so later.
 	clientConfirmAfter = 1000.0
 	maxClientReleases  = 65536 // owed to all clients together
-	maxResumedCalls    = 8192  // bounds the state that clients can create by resuming calls
 )
 
 // onMessage implements peer.
@@ -109,38 +110,6 @@
 	conn.send(releaseMessage(id, binarymessage.Invalid))
 }
 
-// resumeCall takes over a call that an earlier process established and that is still in progress at an endpoint.
-func (c *client) resumeCall(conn *Conn, id uint64, endpointID string) {
-	g := c.gateway
-	if known := g.calls[id]; known != nil {
-		if known.upstream != nil {
-			known.bindTo(conn)
-		}
-		return
-	}
-	u := g.upstreams[g.Endpoints.ByID(endpointID)]
-	if u == nil {
-		c.sendRelease(conn, id, binarymessage.Failure)
-		return
-	}
-	if cause, ended := u.ended.cause(id); ended {
-		c.sendRelease(conn, id, cause)
-		return
-	}
-	if g.resumedCalls >= maxResumedCalls { // not released at the endpoint: the IDs may be made up
-		g.Metrics.ResumesRefused++
-		c.sendRelease(conn, id, binarymessage.Failure)
-		return
-	}
-	g.Metrics.CallsResumed++
-	g.resumedCalls++
-	call := &call{gateway: g, id: id, client: c, upstream: u, endpointUpSince: g.Now}
-	g.calls[id] = call
-	u.established[id] = call
-	c.establishedCalls++
-	call.bindTo(conn)
-}
-
 // onRelease handles a client's release of a pending or established call.
 func (c *client) onRelease(message binarymessage.Message) {
 	call := c.gateway.calls[message.CallID()]
@@ -165,6 +134,7 @@
 func (c *client) removeConn(conn *Conn) {
 	g := c.gateway
 	c.conns = slices.DeleteFunc(c.conns, func(other *Conn) bool { return other == conn })
+	c.disconnectedAt = g.Now
 	g.clientConns = slices.DeleteFunc(g.clientConns, func(other *Conn) bool { return other == conn })
 	g.pendingChecks = slices.DeleteFunc(g.pendingChecks, func(check healthCheck) bool { return check.conn == conn })
 	if conn.pendingCalls == 0 && conn.establishedCalls == 0 {
