Target delay at endpoints: from the retransmit interval, no longer a share of the aim

Change: the retransmit interval alone decides (a setup that waits so long is sent again, and each repeat is work for the endpoint); 150 ms, as before, where setups are not retransmitted. delayObjective is targetDelay.

--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -57,7 +57,7 @@
 // cancelOvertaken cancels attempts that were sent well before one that is answered now. An endpoint processes
 // attempts in order, so the older ones were lost and carry no information about its queueing delay.
 func (r *Router) cancelOvertaken(state *endpointState, answeredSentAt float64) {
-	for len(state.inFlight) > 0 && state.inFlight[0].SentAt < answeredSentAt-overtakenFraction*r.delayObjective {
+	for len(state.inFlight) > 0 && state.inFlight[0].SentAt < answeredSentAt-overtakenFraction*r.targetDelay {
 		lost := state.inFlight[0]
 		lost.PresumedLost = true
 		state.lost.Add(r.now, 1)
@@ -71,5 +71,5 @@
 // canMeetObjective reports whether a call whose attempt is canceled now can still be established at another
 // endpoint within its latency objective.
 func (r *Router) canMeetObjective(call *routing.Call) bool {
-	return r.now+r.settings.RetryHoldOff+r.delayObjective < call.ArrivedAt+call.Class.LatencyObjective
+	return r.now+r.settings.RetryHoldOff+r.targetDelay < call.ArrivedAt+call.Class.LatencyObjective
 }
--- a/internal/router/eligibility.go
+++ b/internal/router/eligibility.go
@@ -63,7 +63,7 @@
 // execute a setup twice that is not idempotent.
 func (r *Router) mayRetry(call *routing.Call) bool {
 	earliest := math.Max(call.RetryNotBefore, r.now)
-	return earliest+r.delayObjective <= call.ArrivedAt+call.Class.LatencyObjective &&
+	return earliest+r.targetDelay <= call.ArrivedAt+call.Class.LatencyObjective &&
 		earliest+2*queueInterval <= call.Deadline &&
 		(call.Class.Idempotent || !call.MayHaveExecuted)
 }
@@ -80,7 +80,7 @@
 	objective := call.Class.LatencyObjective
 	pause := retryAfterFraction * objective
 	retryAfter := 0.0
-	if r.settings.RetryAfterEnabled && r.now+pause+r.delayObjective < call.FirstSeenAt+objective {
+	if r.settings.RetryAfterEnabled && r.now+pause+r.targetDelay < call.FirstSeenAt+objective {
 		retryAfter = math.Min(pause, r.settings.MaxRetryAfter)
 	}
 	r.host.Reject(call, retryAfter)
--- a/internal/router/load.go
+++ b/internal/router/load.go
@@ -24,7 +24,7 @@
 	case attempt.Outcome == routing.Overloaded:
 		r.pauseOverloaded(state, attempt.RetryAfter)
 	case attempt.Outcome == routing.ConnectionRefused:
-		state.delay, state.delayAt = maxDelayFactor*r.delayObjective, r.now
+		state.delay, state.delayAt = maxDelayFactor*r.targetDelay, r.now
 	}
 	r.applyLoadReport(attempt.Endpoint, attempt.HasLoadReport)
 }
@@ -45,7 +45,7 @@
 	state.minLatency = math.Min(state.minLatency, latency)
 	state.latencyAt = r.now
 	delay := latency - state.minLatency
-	if delay >= r.delayObjective && delay <= r.stalledFor {
+	if delay >= r.targetDelay && delay <= r.stalledFor {
 		return // the answer may have waited here while the process stalled
 	}
 	r.observeDelay(state, delay-math.Min(r.stalledFor, delay))
@@ -69,7 +69,7 @@
 func (r *Router) pauseOverloaded(state *endpointState, retryAfter float64) {
 	if r.now >= state.pausedUntil {
 		state.sendRate *= overloadRateCut
-		state.gossipDelay = maxDelayFactor * r.delayObjective
+		state.gossipDelay = maxDelayFactor * r.targetDelay
 	}
 	pause := overloadPause * state.updateInterval / 1000 * (0.5 + r.random())
 	state.pausedUntil = r.now + math.Max(pause, math.Min(retryAfter, delayWindow))
@@ -136,8 +136,8 @@
 // observeDelay records a delay measured at this gateway. A large difference from the estimate is sent on as
 // gossip.
 func (r *Router) observeDelay(state *endpointState, delay float64) {
-	difference := math.Min(maxDelayFactor*r.delayObjective, delay) - state.currentDelay(r.now)
-	if math.Abs(difference) > gossipThreshold*r.delayObjective {
+	difference := math.Min(maxDelayFactor*r.targetDelay, delay) - state.currentDelay(r.now)
+	if math.Abs(difference) > gossipThreshold*r.targetDelay {
 		state.gossipDelay = delay
 	}
 	r.recordDelay(state, delay)
@@ -146,7 +146,7 @@
 // recordDelay averages a sample into the delay estimate. Samples are bounded, so that every estimate decays
 // in bounded time.
 func (r *Router) recordDelay(state *endpointState, sample float64) {
-	bounded := math.Min(maxDelayFactor*r.delayObjective, math.Max(0, sample))
+	bounded := math.Min(maxDelayFactor*r.targetDelay, math.Max(0, sample))
 	state.delay = (state.currentDelay(r.now) + bounded) / 2
 	state.delayAt = r.now
 }
--- a/internal/router/parameters.go
+++ b/internal/router/parameters.go
@@ -13,12 +13,12 @@
 	rateWindow  = 5000.0 // for counts of calls and attempts
 	delayWindow = 2000.0 // for the delay estimate of an endpoint
 
-	// Delay objective, the target for the queueing delay at endpoints: the lesser of two fractions.
-	objectiveRetransmitFraction = 0.35  // of the retransmit interval
-	objectiveLatencyFraction    = 0.15  // of the shortest latency objective
-	defaultDelayObjective       = 150.0 // if neither is known
+	// Target for the queueing delay at endpoints. A setup that waits for the retransmit interval is sent again, and
+	// each repeat is work for the endpoint.
+	targetRetransmitFraction = 0.35  // of the retransmit interval
+	defaultTargetDelay       = 150.0 // where setups are not retransmitted
 
-	// Delay estimate, in multiples of the delay objective unless a unit is given.
+	// Delay estimate, in multiples of the target delay unless a unit is given.
 	maxDelayFactor    = 6.0     // upper bound of a sample
 	ownSampleLifetime = 500.0   // ms after a latency was measured here in which reported delays are ignored
 	overtakenFraction = 0.5     // an attempt sent this long before one that is answered now is lost
@@ -28,17 +28,17 @@
 	// Send rate. The rate changes exponentially; the factors in the exponent are per second.
 	rateGrowth   = 1.0 // at no queueing delay
 	rateRecovery = 3.0 // at no queueing delay, up to half of the rate before the latest congestion
-	rateDecline  = 0.7 // at twice the delay objective
+	rateDecline  = 0.7 // at twice the target delay
 
 	immediateCorrection = 0.5   // weight of the current headroom in the tokens earned
-	minHeadroom         = -2.0  // lower bound: a delay counts as at most this many objectives too long
+	minHeadroom         = -2.0  // lower bound: a delay counts as at most this many target delays too long
 	minSendRate         = 0.001 // lower bound for all gateways together, attempts per ms to an endpoint
 	maxOverRecentRate   = 3.0   // the rate is at most this multiple of the recent rate
 	maxEvenShares       = 1.2   // or of this gateway's even share of the endpoint's capacity, if that is more
 	minEvenShares       = 0.03  // the rate is at least this fraction of the even share
 	tokenLifetime       = 500.0 // ms for which a token is valid for calls to another destination
 	destinationCredit   = 1.0   // tokens in advance for calls to their destination while it has light load
-	lightLoadFraction   = 0.4   // light load is below this fraction of the delay objective and of the reserve
+	lightLoadFraction   = 0.4   // light load is below this fraction of the target delay and of the reserve
 
 	// Agent capacity of an endpoint.
 	loadDeviations  = 3.0  // standard deviations of its load that are kept free
@@ -68,6 +68,6 @@
 	gossipInterval  = 200.0  // ms between messages
 	gossipFanout    = 4      // random receivers of each message
 	gossipDelayUnit = 10.0   // ms per unit of the encoded delay
-	gossipThreshold = 2.0    // delay objectives by which a sample must differ from the estimate to be sent
+	gossipThreshold = 2.0    // target delays by which a sample must differ from the estimate to be sent
 	gossipHoldDown  = 1000.0 // ms after a load update of an endpoint in which gossip about it is ignored
 )
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -58,7 +58,7 @@
 func (r *Router) queuedTooLong(call *routing.Call, ahead, totalRate float64) bool {
 	limit := maxQueueingFraction * math.Min(call.Class.LatencyObjective, call.Deadline-call.ArrivedAt)
 	return r.now-call.ArrivedAt > limit && call.Attempts == 0 ||
-		r.now+r.delayObjective > call.ArrivedAt+call.Class.LatencyObjective ||
+		r.now+r.targetDelay > call.ArrivedAt+call.Class.LatencyObjective ||
 		ahead >= totalRate*limit ||
 		r.now+2*queueInterval > call.Deadline // rule 1: every call is answered before its deadline
 }
@@ -66,7 +66,7 @@
 // currentWeight returns the weight of a call if it is established now; it is lower once the latency objective
 // can no longer be met.
 func (r *Router) currentWeight(call *routing.Call) float64 {
-	if r.now+r.delayObjective > call.FirstSeenAt+call.Class.LatencyObjective {
+	if r.now+r.targetDelay > call.FirstSeenAt+call.Class.LatencyObjective {
 		return call.Class.Weight * call.Class.LateWeightFraction
 	}
 	return call.Class.Weight
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,7 +23,7 @@
 	draws      uint64  // random numbers drawn so far
 	stalledFor float64 // pause before the latest event if it reaches stallThreshold (a stall), else 0
 
-	delayObjective float64 // target for the queueing delay at endpoints
+	targetDelay    float64 // target for the queueing delay at endpoints
 	maxTimeout     float64 // the longest timeout of any class
 	maxHoldingTime float64 // the longest mean holding time of any class
 
@@ -82,7 +82,7 @@
 	r := &Router{
 		settings:        settings,
 		host:            host,
-		delayObjective:  math.Inf(1),
+		targetDelay:     defaultTargetDelay,
 		arrivals:        decaysum.New(rateWindow),
 		arrivedWeight:   decaysum.New(rateWindow),
 		unservedCallers: map[callerKey]float64{},
@@ -90,15 +90,11 @@
 		maxTimeLeft:     map[*routing.Class]float64{},
 	}
 	for _, class := range settings.Classes {
-		r.delayObjective = math.Min(r.delayObjective, objectiveLatencyFraction*class.LatencyObjective)
 		r.maxHoldingTime = math.Max(r.maxHoldingTime, class.MeanHoldingTime)
 		r.maxTimeout = math.Max(r.maxTimeout, class.Timeout)
 	}
 	if settings.RetransmitInterval > 0 {
-		r.delayObjective = math.Min(r.delayObjective, objectiveRetransmitFraction*settings.RetransmitInterval)
-	}
-	if !(r.delayObjective > 0) || math.IsInf(r.delayObjective, 1) {
-		r.delayObjective = defaultDelayObjective
+		r.targetDelay = targetRetransmitFraction * settings.RetransmitInterval
 	}
 	if settings.MaxAttempts <= 0 {
 		settings.MaxAttempts = math.MaxInt
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -202,8 +202,8 @@
 	if len(h.canceled) != 1 || h.canceled[0].Call != lost {
 		t.Fatalf("%d attempts canceled, want the lost one", len(h.canceled))
 	}
-	if w := stateOf(endpoints[0]).expectedDelay(h.now, 0); w > h.router.delayObjective {
-		t.Errorf("a lost attempt counts as a delay of %v, want %v at most", w, h.router.delayObjective)
+	if w := stateOf(endpoints[0]).expectedDelay(h.now, 0); w > h.router.targetDelay {
+		t.Errorf("a lost attempt counts as a delay of %v, want %v at most", w, h.router.targetDelay)
 	}
 }
 
@@ -359,7 +359,7 @@
 	h.now += 2000
 	slow := h.offerCall(endpoints[0])
 	h.advance(5)
-	if h.establish(slow, 1800); stateOf(endpoints[0]).expectedDelay(h.now, 0) < h.router.delayObjective {
+	if h.establish(slow, 1800); stateOf(endpoints[0]).expectedDelay(h.now, 0) < h.router.targetDelay {
 		t.Error("a delay measured without a stall must count")
 	}
 }
@@ -382,8 +382,8 @@
 		other.router.OnGossip(other.now, -5, malformed)
 	}
 	other.router.OnGossip(other.now+2000, 1<<30, append(h.gossip[0], 1))
-	if a, b := stateOf(others[0]).delay, stateOf(others[1]).delay; a != 0 || b < other.router.delayObjective {
-		t.Errorf("delay estimates %v and %v, want 0 and the delay objective at least", a, b)
+	if a, b := stateOf(others[0]).delay, stateOf(others[1]).delay; a != 0 || b < other.router.targetDelay {
+		t.Errorf("delay estimates %v and %v, want 0 and the target delay at least", a, b)
 	}
 }
 
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -61,7 +61,7 @@
 	initial := r.settings.SlowStartFraction
 	ramp := initial + (1-initial)*math.Max(0, age)/r.settings.SlowStartDuration
 	safety := slowStartSafety
-	answersPromptly := state.expectedDelay(r.now, r.stalledFor) < lightLoadFraction*r.delayObjective
+	answersPromptly := state.expectedDelay(r.now, r.stalledFor) < lightLoadFraction*r.targetDelay
 	if state.latencyAt > state.startedAt && answersPromptly {
 		safety = slowStartProvenSafety
 	}
--- a/internal/router/sendrate.go
+++ b/internal/router/sendrate.go
@@ -19,7 +19,7 @@
 		return false
 	}
 	r.updateSendRate(endpoint)
-	if r.hasLowWeight(call) && state.expectedDelay(r.now, r.stalledFor) > lightLoadFraction*r.delayObjective {
+	if r.hasLowWeight(call) && state.expectedDelay(r.now, r.stalledFor) > lightLoadFraction*r.targetDelay {
 		return false
 	}
 	probing := state.unanswered > 1 // one attempt at a time tests whether it answers again
@@ -44,7 +44,7 @@
 func (r *Router) hasLightLoad(endpoint *routing.Endpoint) bool {
 	state := stateOf(endpoint)
 	return r.stalledFor == 0 &&
-		state.expectedDelay(r.now, 0) < lightLoadFraction*r.delayObjective &&
+		state.expectedDelay(r.now, 0) < lightLoadFraction*r.targetDelay &&
 		capacityPressure(endpoint) < lightLoadFraction &&
 		state.sendRate >= state.rateBeforeCongestion/2
 }
@@ -72,7 +72,7 @@
 	state := stateOf(endpoint)
 	elapsed := math.Max(0, r.now-math.Max(state.refilledAt, state.pausedUntil)) // a pause earns no tokens
 	state.refilledAt = r.now
-	delayRatio := state.expectedDelay(r.now, r.stalledFor) / r.delayObjective
+	delayRatio := state.expectedDelay(r.now, r.stalledFor) / r.targetDelay
 	headroom := math.Max(minHeadroom, 1-math.Max(delayRatio, capacityPressure(endpoint)))
 	growth := state.rateChange(headroom)
 	share := r.shareOf(endpoint)
@@ -86,7 +86,7 @@
 		state.tokens = 1 + fraction(state.tokens)
 		return
 	}
-	state.tokens = math.Min(1+math.Max(1, state.sendRate*r.delayObjective), state.tokens)
+	state.tokens = math.Min(1+math.Max(1, state.sendRate*r.targetDelay), state.tokens)
 }
 
 // rateChange returns the rate of change of the send rate, per millisecond, at a headroom of 1 or -1. When
@@ -109,7 +109,7 @@
 // more if this gateway receives more calls than others.
 func (r *Router) shareOf(endpoint *routing.Endpoint) float64 {
 	if !(endpoint.LoadReport.Capacity > 0) && !(endpoint.LoadReport.RateLimit >= 0) {
-		return 1 / r.delayObjective // its capacity is unknown
+		return 1 / r.targetDelay // its capacity is unknown
 	}
 	return math.Max(r.evenShare(r.callCapacity(endpoint)/1000), r.arrivals.Rate(r.now)*r.capacityShare(endpoint))
 }
