Queue: a repeated call has the place of any other call, no longer the one of a late call

Callers: who called again after a refusal waited behind first calls with the same time left, and was refused first: 2 s after the first call the repeat counted a tenth (late fraction), and it was told no time to come back. Cause: currentWeight and reject counted the latency objective from the caller's first call (FirstSeenAt). Change: Call.FirstSeenAt is gone. Repeats are known in offeredLoad only, which estimates callers a second for the budgets of rule 4: repeats inflate the offered load. A call without a number is no repeat of another one without. Busy numbers have a file of their own. Evidence: TestRetryingCallerRecognized asserted the fault (weight 0.1 for a late repeat) and passed before; TestRepeatedCallerCountedOnce replaces it: same recognition, the count, and the weight of any other call (1, was 0.1).

--- a/internal/router/eligibility.go
+++ b/internal/router/eligibility.go
@@ -31,12 +31,13 @@
 	answered := call.InFlight == attempt
 	if answered {
 		r.clearBusyNumber(call.CalledNumber)
+		r.offered.onServed(call)
 	}
 	if answered || call.Finished {
 		return
 	}
 	if attempt.NumberBusy && call.CalledNumber != "" {
-		r.busyNumbers[call.CalledNumber] = &busyNumber{until: r.now + busyNumberPause}
+		r.blockBusyNumber(call.CalledNumber)
 	}
 	call.MayHaveExecuted = call.MayHaveExecuted || attempt.Outcome.MayHaveExecuted()
 	if needsHoldOff(attempt.Outcome) {
@@ -49,16 +50,6 @@
 	r.advance(call, 0)
 }
 
-// clearBusyNumber removes a busy number once two calls to it were answered.
-func (r *Router) clearBusyNumber(calledNumber string) {
-	if busy := r.busyNumbers[calledNumber]; busy != nil {
-		busy.answered++
-		if busy.answered > 1 {
-			delete(r.busyNumbers, calledNumber)
-		}
-	}
-}
-
 // mayRetry reports whether another attempt can still be answered in time and is safe to send: it must not
 // execute a setup twice that is not idempotent.
 func (r *Router) mayRetry(call *routing.Call) bool {
@@ -76,11 +67,11 @@
 // reject answers a call as rejected. If a retry can still be in time, the answer tells the caller when to
 // retry, which is sooner than it would on its own.
 func (r *Router) reject(call *routing.Call) stageResult {
-	r.rememberUnserved(call)
+	r.offered.onUnserved(r.now, call)
 	objective := call.Class.LatencyObjective
 	pause := retryAfterFraction * objective
 	retryAfter := 0.0
-	if r.settings.RetryAfterEnabled && r.now+pause+r.targetDelay < call.FirstSeenAt+objective {
+	if r.settings.RetryAfterEnabled && r.now+pause+r.targetDelay < call.ArrivedAt+objective {
 		retryAfter = math.Min(pause, r.settings.MaxRetryAfter)
 	}
 	r.host.Reject(call, retryAfter)
@@ -89,7 +80,7 @@
 
 // fail answers a call as failed.
 func (r *Router) fail(call *routing.Call) stageResult {
-	r.rememberUnserved(call)
+	r.offered.onUnserved(r.now, call)
 	r.host.Fail(call)
 	return finished
 }
--- a/internal/router/parameters.go
+++ b/internal/router/parameters.go
@@ -13,8 +13,8 @@
 	rateWindow  = 5000.0 // for counts of calls and attempts
 	delayWindow = 2000.0 // for the delay estimate of an endpoint
 
-	// Target for the queueing delay at endpoints. A setup that waits for the retransmit interval is sent again, and
-	// each repeat is work for the endpoint.
+	// Target for the queueing delay at endpoints. A setup that waits for the retransmit interval is sent again,
+	// and each repeat is work for the endpoint.
 	targetRetransmitFraction = 0.35  // of the retransmit interval
 	defaultTargetDelay       = 150.0 // where setups are not retransmitted
 
@@ -51,11 +51,12 @@
 	slowStartTokenLifetime = 0.6 // fraction of the overload window for which a token is valid
 
 	// Admission queue and rejections.
-	maxQueueingFraction = 0.45   // of the latency objective: how long a call may be queued
-	lowWeightFraction   = 0.5    // of the mean weight: a lighter call is sent only to endpoints with light load
-	retryAfterFraction  = 0.15   // of the latency objective: when a rejected caller is asked to retry
-	queueInterval       = 20.0   // ms between checks of the queue
-	busyNumberPause     = 2000.0 // ms without attempts to a number that answered busy
+	maxQueueingFraction = 0.45    // of the latency objective: how long a call may be queued
+	lowWeightFraction   = 0.5     // of the mean weight: a lighter call is sent only to endpoints with light load
+	retryAfterFraction  = 0.15    // of the latency objective: when a rejected caller is asked to retry
+	queueInterval       = 20.0    // ms between checks of the queue
+	busyNumberRetention = 10000.0 // ms for which a number that is no longer paused is remembered
+	busyNumberPause     = 2000.0  // ms without attempts to a number that answered busy
 
 	// Outliers and overloaded endpoints.
 	failureAllowance = 3.0   // recent failures that may be chance
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"maps"
 	"math"
 	"slices"
 
@@ -66,27 +65,8 @@
 // currentWeight returns the weight of a call if it is established now; it is lower once the latency objective
 // can no longer be met.
 func (r *Router) currentWeight(call *routing.Call) float64 {
-	if r.now+r.targetDelay > call.FirstSeenAt+call.Class.LatencyObjective {
+	if r.now+r.targetDelay > call.ArrivedAt+call.Class.LatencyObjective {
 		return call.Class.Weight * call.Class.LateWeightFraction
 	}
 	return call.Class.Weight
 }
-
-// rememberUnserved records a caller that may try again. Its latency objective counts from its first try, so a
-// late retry has less weight.
-func (r *Router) rememberUnserved(call *routing.Call) {
-	r.sweepExpired(call.Class.Timeout)
-	r.unservedCallers[callerKey{call.CalledNumber, call.Class, call.Tenant}] = call.FirstSeenAt
-}
-
-// sweepExpired removes expired callers and busy numbers, at most once per interval.
-func (r *Router) sweepExpired(interval float64) {
-	if r.now-r.lastSweepAt <= interval {
-		return
-	}
-	r.lastSweepAt = r.now
-	maps.DeleteFunc(r.unservedCallers, func(caller callerKey, first float64) bool {
-		return r.now > first+caller.class.Timeout
-	})
-	maps.DeleteFunc(r.busyNumbers, func(_ string, busy *busyNumber) bool { return r.now > busy.until+interval })
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -36,12 +36,12 @@
 	queue          []*routing.Call // calls waiting for capacity, in descending order of weight
 	queueWakeupSet bool
 
-	arrivals        decaysum.Sum               // first tries of callers
-	arrivedWeight   decaysum.Sum               // total weight of the same calls
-	maxTimeLeft     map[*routing.Class]float64 // longest time that a call of the class had left on arrival
-	unservedCallers map[callerKey]float64      // first arrival of each caller whose call was not served
-	busyNumbers     map[string]*busyNumber     // called numbers that answered busy
-	lastSweepAt     float64                    // when expired entries of both maps were last removed
+	offered            offeredLoad
+	arrivals           decaysum.Sum               // calls
+	arrivedWeight      decaysum.Sum               // their total weight
+	maxTimeLeft        map[*routing.Class]float64 // longest time that a call of the class had left on arrival
+	busyNumbers        map[string]*busyNumber     // called numbers that answered busy
+	busyNumbersSweptAt float64                    // when expired ones were last removed
 
 	nextGossipAt float64
 }
@@ -80,14 +80,14 @@
 // New creates the router of one gateway. A MaxAttempts of 0 or less in the settings means no limit.
 func New(settings *routing.Settings, host routing.Host) *Router {
 	r := &Router{
-		settings:        settings,
-		host:            host,
-		targetDelay:     defaultTargetDelay,
-		arrivals:        decaysum.New(rateWindow),
-		arrivedWeight:   decaysum.New(rateWindow),
-		unservedCallers: map[callerKey]float64{},
-		busyNumbers:     map[string]*busyNumber{},
-		maxTimeLeft:     map[*routing.Class]float64{},
+		settings:      settings,
+		host:          host,
+		targetDelay:   defaultTargetDelay,
+		offered:       newOfferedLoad(),
+		arrivals:      decaysum.New(rateWindow),
+		arrivedWeight: decaysum.New(rateWindow),
+		busyNumbers:   map[string]*busyNumber{},
+		maxTimeLeft:   map[*routing.Class]float64{},
 	}
 	for _, class := range settings.Classes {
 		r.maxHoldingTime = math.Max(r.maxHoldingTime, class.MeanHoldingTime)
@@ -158,15 +158,9 @@
 	r.maxTimeLeft[call.Class] = math.Max(r.maxTimeLeft[call.Class], left)
 	// After a stall the call may have waited unread, but no longer than the time missing from its timeout.
 	call.ArrivedAt -= math.Min(r.stalledFor, r.maxTimeLeft[call.Class]-left)
-	call.FirstSeenAt = call.ArrivedAt
-	caller := callerKey{call.CalledNumber, call.Class, call.Tenant}
-	if first, known := r.unservedCallers[caller]; known && now < first+call.Class.Timeout {
-		call.FirstSeenAt = first
-		delete(r.unservedCallers, caller)
-	} else {
-		r.arrivals.Add(now, 1)
-		r.arrivedWeight.Add(now, call.Class.Weight)
-	}
+	r.offered.onCall(now, call)
+	r.arrivals.Add(now, 1)
+	r.arrivedWeight.Add(now, call.Class.Weight)
 	r.advance(call, 0)
 }
 
@@ -187,7 +181,7 @@
 // OnHangup handles a call whose caller hung up.
 func (r *Router) OnHangup(now float64, call *routing.Call) {
 	r.setTime(now)
-	r.rememberUnserved(call)
+	r.offered.onUnserved(now, call)
 }
 
 // OnLoadReport handles a load report that an endpoint sent unsolicited or in response to a probe; complete:
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -65,7 +65,7 @@
 	if state.latencyAt > state.startedAt && answersPromptly {
 		safety = slowStartProvenSafety
 	}
-	return r.arrivals.Rate(r.now) * r.capacityShare(endpoint) * safety * r.settings.OverloadFactor * ramp
+	return r.offered.rate(r.now) * r.capacityShare(endpoint) * safety * r.settings.OverloadFactor * ramp
 }
 
 // fraction returns the fractional part of a value.
--- a/internal/router/sendrate.go
+++ b/internal/router/sendrate.go
@@ -111,7 +111,7 @@
 	if !(endpoint.LoadReport.Capacity > 0) && !(endpoint.LoadReport.RateLimit >= 0) {
 		return 1 / r.targetDelay // its capacity is unknown
 	}
-	return math.Max(r.evenShare(r.callCapacity(endpoint)/1000), r.arrivals.Rate(r.now)*r.capacityShare(endpoint))
+	return math.Max(r.evenShare(r.callCapacity(endpoint)/1000), r.offered.rate(r.now)*r.capacityShare(endpoint))
 }
 
 // evenShare returns this gateway's part of a total that is divided evenly among all gateways.
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -83,16 +83,3 @@
 	s.slowStartRefilledAt = now
 	s.inFlight = slices.DeleteFunc(s.inFlight, func(a *routing.Attempt) bool { return a.SentAt < at })
 }
-
-// callerKey identifies a caller, so that a caller that tries again is recognized.
-type callerKey struct {
-	calledNumber string
-	class        *routing.Class
-	tenant       *routing.Tenant
-}
-
-// busyNumber is a called number that answered busy.
-type busyNumber struct {
-	until    float64 // no attempts before this
-	answered int     // calls answered since then
-}
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -25,10 +25,9 @@
 	DestinationID int
 	CalledNumber  string
 
-	FirstSeenAt float64 // when its caller first tried, as far as the policy can tell
-	ArrivedAt   float64 // when it was read; after a stall the policy sets it back, because the call waited unread
-	Deadline    float64 // when its caller gives up
-	Resumed     bool    // it was established before and was cut
+	ArrivedAt float64 // when it was read; after a stall the policy sets it back, because the call waited unread
+	Deadline  float64 // when its caller gives up
+	Resumed   bool    // it was established before and was cut
 
 	Queued          bool     // it is in the policy's queue until an endpoint has capacity
 	Attempts        int      // so far
