Slow start test: each gateway draws its own first token, as gateways do

The first setups of nearly all gateways fell into one second, about 2 s after the start. Cause, traced by printing the tokens of each gateway: the test makes every router with seed 7 and sets its own seed only afterwards, so that all had the same first slow start token (0.75) and reached 1 together. Gateways in service have seeds of their own; state.go draws this token so that they don't send together. The test drew the send rate's tokens itself, not these. Change: it draws both. Bounds, seeds of the fleets and checks are as they were.

--- a/internal/router/rules_test.go
+++ b/internal/router/rules_test.go
@@ -220,7 +220,7 @@
 		h.router.settings.Gateways, h.router.settings.Seed = f.gateways, uint64(seed)+uint64(i)*7919
 		for _, endpoint := range endpoints {
 			endpoint.LoadReport.Capacity, endpoint.LoadReport.Free = capacity, capacity/2
-			stateOf(endpoint).tokens = rnd.Float64()
+			stateOf(endpoint).tokens, stateOf(endpoint).slowStartTokens = rnd.Float64(), rnd.Float64()
 		}
 		f.hosts = append(f.hosts, h)
 		f.listDelay[i] = rnd.Float64() * 500
