Waits, refusals and retries follow from the caller's time and the work ahead

Callers: a call that had not been attempted was refused after 0.45 of the aim (plain, rate 100: median first refusal 240 ms, three in four by 905 ms, of 3 s that callers wait), also where an endpoint had capacity soon after; calls of less than half the mean weight waited although an endpoint had capacity; no call was retried, and no lost attempt canceled for a retry, once the aim was past. Cause: queuedTooLong, currentWeight, hasLowWeight, mayRetry and canMeetObjective used the latency objective, its shares and the weight. Change: the queue is in the order of deadlines. A call is given up when the calls ahead of it, by a forecast of the send rates (forecast.go), take longer than its time less that of a setup (shortest latency seen, plus the work measured there, less what was done since): at once. Retry and cancel need time for hold-off and setup. A call that can be repeated is rejected whether or not it was attempted; else failed.

--- a/internal/router/dispatch.go
+++ b/internal/router/dispatch.go
@@ -55,21 +55,16 @@
 }
 
 // cancelOvertaken cancels attempts that were sent well before one that is answered now. An endpoint processes
-// attempts in order, so the older ones were lost and carry no information about its queueing delay.
+// attempts in order, so the older ones were lost and carry no information about its queueing delay. An
+// attempt is only canceled if its caller has the time for another one.
 func (r *Router) cancelOvertaken(state *endpointState, answeredSentAt float64) {
 	for len(state.inFlight) > 0 && state.inFlight[0].SentAt < answeredSentAt-overtakenFraction*r.targetDelay {
 		lost := state.inFlight[0]
 		lost.PresumedLost = true
 		state.lost.Add(r.now, 1)
 		state.inFlight = state.inFlight[1:]
-		if r.canMeetObjective(lost.Call) {
+		if lost.Call.Class.Idempotent && r.mayRetry(lost.Call, r.now+r.settings.RetryHoldOff) {
 			r.host.CancelAttempt(lost)
 		}
 	}
 }
-
-// canMeetObjective reports whether a call whose attempt is canceled now can still be established at another
-// endpoint within its latency objective.
-func (r *Router) canMeetObjective(call *routing.Call) bool {
-	return r.now+r.settings.RetryHoldOff+r.targetDelay < call.ArrivedAt+call.Class.LatencyObjective
-}
--- a/internal/router/parameters.go
+++ b/internal/router/parameters.go
@@ -50,13 +50,11 @@
 	slowStartProvenSafety  = 0.8 // the same once attempts are answered without delay
 	slowStartTokenLifetime = 0.6 // fraction of the overload window for which a token is valid
 
-	// Admission queue and rejections.
-	maxQueueingFraction = 0.45    // of the latency objective: how long a call may be queued
-	lowWeightFraction   = 0.5     // of the mean weight: a lighter call is sent only to endpoints with light load
+	// Queue, busy numbers and rejections.
 	retryAfterFraction  = 0.15    // of the latency objective: when a rejected caller is asked to retry
 	queueInterval       = 20.0    // ms between checks of the queue
-	busyNumberRetention = 10000.0 // ms for which a number that is no longer paused is remembered
 	busyNumberPause     = 2000.0  // ms without attempts to a number that answered busy
+	busyNumberRetention = 10000.0 // ms for which a number that is no longer paused is remembered
 
 	// Outliers and overloaded endpoints.
 	failureAllowance = 3.0   // recent failures that may be chance
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,7 +10,6 @@
 	"math"
 	"slices"
 
-	"cobaltpier/internal/decaysum"
 	"cobaltpier/internal/detrand"
 	"cobaltpier/internal/routing"
 )
@@ -33,15 +32,12 @@
 	totalCapacityAt float64
 	lastProbeAt     float64
 
-	queue          []*routing.Call // calls waiting for capacity, in descending order of weight
+	queue          []*routing.Call // calls waiting for capacity, in the order of their deadlines
 	queueWakeupSet bool
 
 	offered            offeredLoad
-	arrivals           decaysum.Sum               // calls
-	arrivedWeight      decaysum.Sum               // their total weight
-	maxTimeLeft        map[*routing.Class]float64 // longest time that a call of the class had left on arrival
-	busyNumbers        map[string]*busyNumber     // called numbers that answered busy
-	busyNumbersSweptAt float64                    // when expired ones were last removed
+	busyNumbers        map[string]*busyNumber // called numbers that answered busy
+	busyNumbersSweptAt float64                // when expired ones were last removed
 
 	nextGossipAt float64
 }
@@ -80,14 +76,11 @@
 // New creates the router of one gateway. A MaxAttempts of 0 or less in the settings means no limit.
 func New(settings *routing.Settings, host routing.Host) *Router {
 	r := &Router{
-		settings:      settings,
-		host:          host,
-		targetDelay:   defaultTargetDelay,
-		offered:       newOfferedLoad(),
-		arrivals:      decaysum.New(rateWindow),
-		arrivedWeight: decaysum.New(rateWindow),
-		busyNumbers:   map[string]*busyNumber{},
-		maxTimeLeft:   map[*routing.Class]float64{},
+		settings:    settings,
+		host:        host,
+		targetDelay: defaultTargetDelay,
+		offered:     newOfferedLoad(),
+		busyNumbers: map[string]*busyNumber{},
 	}
 	for _, class := range settings.Classes {
 		r.maxHoldingTime = math.Max(r.maxHoldingTime, class.MeanHoldingTime)
@@ -154,13 +147,7 @@
 // OnCall handles a new call.
 func (r *Router) OnCall(now float64, call *routing.Call) {
 	r.setTime(now)
-	left := call.Deadline - now
-	r.maxTimeLeft[call.Class] = math.Max(r.maxTimeLeft[call.Class], left)
-	// After a stall the call may have waited unread, but no longer than the time missing from its timeout.
-	call.ArrivedAt -= math.Min(r.stalledFor, r.maxTimeLeft[call.Class]-left)
 	r.offered.onCall(now, call)
-	r.arrivals.Add(now, 1)
-	r.arrivedWeight.Add(now, call.Class.Weight)
 	r.advance(call, 0)
 }
 
--- a/internal/router/rules.go
+++ b/internal/router/rules.go
@@ -9,7 +9,7 @@
 // enforceRules is the last check before an attempt is sent: a call that breaks a rule is rejected.
 func (r *Router) enforceRules(call *routing.Call, selected **routing.Endpoint) stageResult {
 	if !r.rulesAllow(call, *selected) {
-		return r.reject(call)
+		return r.giveUp(call)
 	}
 	return proceed
 }
@@ -18,11 +18,10 @@
 func (r *Router) rulesAllow(call *routing.Call, endpoint *routing.Endpoint) bool {
 	return !call.Finished && call.Deadline > r.now && // rule 1: one final answer, in time
 		call.InFlight == nil && // rule 2: one attempt at a time
-		endpoint.State == routing.Ready && // rule 3, without use of the grace period
+		usable(call.Class, endpoint) && // rule 3, without use of the grace period
 		call.RetryNotBefore <= r.now && // rule 5: hold-off
 		call.Attempts < r.settings.MaxAttempts &&
 		(call.Class.Idempotent || !call.MayHaveExecuted) &&
-		(call.Class.AllowedDestinations == nil || call.Class.AllowedDestinations[endpoint.DestinationID]) &&
 		r.slowStartAllows(endpoint) // rule 4
 }
 
--- a/internal/router/sendrate.go
+++ b/internal/router/sendrate.go
@@ -12,22 +12,18 @@
 }
 
 // hasCapacity reports whether an endpoint has capacity for a call: the rules allow the attempt, the
-// endpoint is not known to be full, and its send rate has a token.
+// endpoint is not known to be full, it can answer before the call's deadline, and its send rate has a token.
 func (r *Router) hasCapacity(call *routing.Call, endpoint *routing.Endpoint) bool {
 	state := stateOf(endpoint)
-	if !r.rulesAllow(call, endpoint) || state.atCapacity {
+	if !r.rulesAllow(call, endpoint) || state.atCapacity || state.answerTime(r.now) > call.Deadline {
 		return false
 	}
 	r.updateSendRate(endpoint)
-	if r.hasLowWeight(call) && state.expectedDelay(r.now, r.stalledFor) > lightLoadFraction*r.targetDelay {
-		return false
-	}
-	probing := state.unanswered > 1 // one attempt at a time tests whether it answers again
-	if r.now < state.pausedUntil || probing && (len(state.inFlight) > 0 || r.now-state.aliveAt < probeInterval) {
+	if !r.takesAttempts(state) {
 		return false
 	}
 	if endpoint == call.Destination {
-		return state.tokens >= 1 || state.tokens >= 1-destinationCredit && r.hasLightLoad(endpoint)
+		return r.hasDestinationToken(endpoint)
 	}
 	// For other calls a token is valid only for a short time. Otherwise, when a large endpoint fails, all
 	// gateways would spend their accumulated tokens at once on the few endpoints with capacity.
@@ -35,9 +31,29 @@
 		(state.tokens < 1+state.sendRate*tokenLifetime || state.sendRate*tokenLifetime >= 1)
 }
 
-// hasLowWeight reports whether a call's weight is well below the mean of recent arrivals.
-func (r *Router) hasLowWeight(call *routing.Call) bool {
-	return r.currentWeight(call)*r.arrivals.Read(r.now) < lowWeightFraction*r.arrivedWeight.Read(r.now)
+// takesAttempts reports whether an endpoint takes attempts, as far as its answers tell: it has free agents,
+// is not paused, and answers. One that does not answer is tested by one attempt at a time.
+func (r *Router) takesAttempts(state *endpointState) bool {
+	unresponsive := state.unanswered > 1
+	beingTested := len(state.inFlight) > 0 || r.now-state.aliveAt < probeInterval
+	return !state.atCapacity && r.now >= state.pausedUntil && (!unresponsive || !beingTested)
+}
+
+// hasDestinationToken reports whether the send rate of an endpoint allows an attempt of a call to this
+// destination.
+func (r *Router) hasDestinationToken(endpoint *routing.Endpoint) bool {
+	tokens := stateOf(endpoint).tokens
+	return tokens >= 1 || tokens >= 1-destinationCredit && r.hasLightLoad(endpoint)
+}
+
+// anyEndpointOpen reports whether any endpoint may have capacity for some call. If not, no queued call needs
+// a closer look.
+func (r *Router) anyEndpointOpen() bool {
+	return slices.ContainsFunc(r.endpoints, func(endpoint *routing.Endpoint) bool {
+		return endpoint.State == routing.Ready &&
+			r.takesAttempts(stateOf(endpoint)) &&
+			r.hasDestinationToken(endpoint)
+	})
 }
 
 // hasLightLoad reports whether an endpoint is far from congestion by every indicator known here.
@@ -49,16 +65,13 @@
 		state.sendRate >= state.rateBeforeCongestion/2
 }
 
-// updateSendRates updates the send rates of all endpoints and returns their sum in attempts a millisecond.
-func (r *Router) updateSendRates() float64 {
-	total := 0.0
+// updateSendRates updates the send rates of all endpoints.
+func (r *Router) updateSendRates() {
 	for _, endpoint := range r.endpoints {
 		if endpoint.State == routing.Ready {
 			r.updateSendRate(endpoint)
-			total += stateOf(endpoint).sendRate
 		}
 	}
-	return total
 }
 
 // updateSendRate updates an endpoint's send rate and tokens. The rate falls while the queueing delay there
@@ -81,7 +94,15 @@
 	limit := math.Max(maxOverRecentRate*(sent-math.Sqrt(sent))/rateWindow, maxEvenShares*share)
 	rate := math.Min(limit, math.Min(limit, state.sendRate)*math.Exp(headroom*growth*elapsed))
 	state.sendRate = math.Max(rate, math.Max(r.evenShare(minSendRate), minEvenShares*share))
-	state.tokens += elapsed * state.sendRate * (1 + immediateCorrection*headroom)
+	earned := 1 + immediateCorrection*headroom
+	excess := math.Max(0, delayRatio-1) * r.targetDelay
+	state.forecast = sendForecast{
+		startsAt:  r.now + excess,
+		rate:      math.Max(1, earned) * state.sendRate,
+		rateLimit: math.Max(1, earned) * limit,
+		growth:    math.Max(0, headroom*growth),
+	}
+	state.tokens += elapsed * earned * state.sendRate
 	if state.tokens > 2 && state.sendRate*tokenLifetime < 1 {
 		state.tokens = 1 + fraction(state.tokens)
 		return
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -42,6 +42,7 @@
 	congested            bool
 	tokens               float64 // attempts that may be sent now
 	refilledAt           float64 // when sendRate and tokens were last updated
+	forecast             sendForecast
 	pausedUntil          float64 // no attempts before this, after an overload rejection
 
 	// slow start
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -25,7 +25,7 @@
 	DestinationID int
 	CalledNumber  string
 
-	ArrivedAt float64 // when it was read; after a stall the policy sets it back, because the call waited unread
+	ArrivedAt float64 // when it was read
 	Deadline  float64 // when its caller gives up
 	Resumed   bool    // it was established before and was cut
 
