Refusals tell callers to come back when the calls that wait have been sent

Callers: whoever was refused was told a pause of 0.15 of the aim (300 ms for an aim of 2 s), all the same, and nothing once the aim was past though its caller still waited: refused callers came back together into a full queue, or after their own longer pause. Cause: reject took a share of the latency objective. Change: the time is that of the calls that wait, by the rate at which they can be sent, and refused callers follow each other by that rate, within the longest pause that callers accept. A busy number: when it may be tried again. No tickets: when the first report is old enough to count again. Nothing where nothing is known (no endpoint) or the settings forbid it. Evidence: TestReturnTimes; on the code before it fails: 'told to return after [300 300 ... 300] ms, want about 500 ms', 25 callers alike; a mutant without the spread fails. TestCallsAlikeInTimeLeftFareAlike compares these times too.

--- a/internal/router/eligibility.go
+++ b/internal/router/eligibility.go
@@ -20,7 +20,7 @@
 	}
 	if busy := r.busyNumbers[call.CalledNumber]; busy != nil {
 		if r.now < busy.until {
-			return r.reject(call)
+			return r.reject(call, busy.until)
 		}
 		busy.until = r.now + busyNumberPause // this call tests the number; others are rejected until its outcome
 	}
--- a/internal/router/fairness_test.go
+++ b/internal/router/fairness_test.go
@@ -64,6 +64,15 @@
 	return &steadyHost{testHost: h, endpoints: endpoints, rates: rates, latency: latency}
 }
 
+// totalRate returns the setups a millisecond that all endpoints take.
+func (h *steadyHost) totalRate() float64 {
+	total := 0.0
+	for _, rate := range h.rates {
+		total += rate / 1000
+	}
+	return total
+}
+
 // run offers each call of a plan when it is due and goes on until all have been answered.
 func (h *steadyHost) run(plan []plannedCall) []*routing.Call {
 	start := h.now
@@ -144,14 +153,15 @@
 
 // outcome is what became of a call.
 type outcome struct {
-	attempts  int
-	sentAt    float64 // of the latest attempt
-	endpoint  int
-	refusedAt float64
+	attempts   int
+	sentAt     float64 // of the latest attempt
+	endpoint   int
+	refusedAt  float64
+	retryAfter float64
 }
 
 func (h *steadyHost) outcomeOf(call *routing.Call) outcome {
-	result := outcome{attempts: call.Attempts, refusedAt: h.endedAt[call]}
+	result := outcome{attempts: call.Attempts, refusedAt: h.endedAt[call], retryAfter: h.retryAfter[call]}
 	for _, attempt := range h.attempts {
 		if attempt.Call == call {
 			result.sentAt, result.endpoint = attempt.SentAt, attempt.Endpoint.DestinationID
@@ -185,8 +195,8 @@
 
 // TestCallsAlikeInTimeLeftFareAlike runs the same calls twice. In the second run they differ in what must not matter:
 // how long they waited before, how often they were attempted, whose they are, and which of two calls that arrive
-// together with the same time left repeats an earlier one. Each call must be attempted and refused at the same
-// times as in the first run.
+// together with the same time left repeats an earlier one. Each call must be attempted, refused and told when to
+// return at the same times as in the first run.
 func TestCallsAlikeInTimeLeftFareAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rates := rapid.SliceOfN(rapid.Float64Range(3, 30), 1, 3).Draw(t, "rates")
@@ -294,6 +304,38 @@
 	}
 }
 
+// TestReturnTimes checks that refused callers are asked to come back when the calls that wait have been sent, one
+// after the other, within the longest pause that callers accept, and are told nothing where the settings forbid it.
+func TestReturnTimes(t *testing.T) {
+	h := newSteadyHost([]float64{10}, 20)
+	h.router.settings.MaxRetryAfter = 60000
+	h.timeLeft = 1000
+	var told []float64
+	for range 30 {
+		if call := h.offerCall(h.endpoints[0]); call.Finished {
+			told = append(told, h.retryAfter[call])
+		}
+	}
+	backlog := float64(len(h.router.queue)) / h.totalRate()
+	if len(told) < 10 || math.Abs(told[0]-backlog) > 1.5/h.totalRate() {
+		t.Fatalf("told to return after %.0f ms, want about %.0f ms: the time of the %d calls that wait",
+			told, backlog, len(h.router.queue))
+	}
+	for i := 1; i < len(told); i++ {
+		if gap := told[i] - told[i-1]; math.Abs(gap-1/h.totalRate()) > 1 {
+			t.Errorf("refused callers are told to return %.0f ms after each other, want %.0f ms", gap, 1/h.totalRate())
+		}
+	}
+	h.router.settings.MaxRetryAfter = 300
+	if call := h.offerCall(h.endpoints[0]); !call.Finished || h.retryAfter[call] > 300 || h.retryAfter[call] <= 0 {
+		t.Errorf("told to return after %.0f ms, want 300 ms at most", h.retryAfter[call])
+	}
+	h.router.settings.RetryAfterEnabled = false
+	if call := h.offerCall(h.endpoints[0]); !call.Finished || h.retryAfter[call] != 0 {
+		t.Errorf("told to return after %.0f ms, want no time", h.retryAfter[call])
+	}
+}
+
 // TestRetriedWhileCallerHasTime checks that a call whose attempt ended is attempted again as long as a setup can be
 // answered before its deadline, however long its caller has waited.
 func TestRetriedWhileCallerHasTime(t *testing.T) {
--- a/internal/router/parameters.go
+++ b/internal/router/parameters.go
@@ -50,8 +50,7 @@
 	slowStartProvenSafety  = 0.8 // the same once attempts are answered without delay
 	slowStartTokenLifetime = 0.6 // fraction of the overload window for which a token is valid
 
-	// Queue, busy numbers and rejections.
-	retryAfterFraction  = 0.15    // of the latency objective: when a rejected caller is asked to retry
+	// Queue and busy numbers.
 	queueInterval       = 20.0    // ms between checks of the queue
 	busyNumberPause     = 2000.0  // ms without attempts to a number that answered busy
 	busyNumberRetention = 10000.0 // ms for which a number that is no longer paused is remembered
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -6,27 +6,52 @@
 	"cobaltpier/internal/routing"
 )
 
-// giveUp ends a call that can't be served in time. Its caller is told at once. A call that may have been
-// executed, and must not be repeated, is failed: a rejection promises that a repeat is harmless.
+// giveUp ends a call that can't be served in time. Its caller is told at once, and told when to come back:
+// when the calls that wait now have been sent. A call that may have been executed, and must not be repeated,
+// is failed: a rejection promises that a repeat is harmless.
 func (r *Router) giveUp(call *routing.Call) stageResult {
 	if !call.Class.Idempotent && call.MayHaveExecuted {
 		r.offered.onUnserved(r.now, call)
 		r.host.Fail(call)
 		return finished
 	}
-	return r.reject(call)
+	return r.reject(call, r.returnTime(call))
 }
 
-// reject answers a call as rejected. If a retry can still be in time, the answer tells the caller when to
-// retry, which is sooner than it would on its own.
-func (r *Router) reject(call *routing.Call) stageResult {
+// reject answers a call as rejected and asks the caller to come back at a time, unless that is not in the
+// future.
+func (r *Router) reject(call *routing.Call, returnAt float64) stageResult {
 	r.offered.onUnserved(r.now, call)
-	objective := call.Class.LatencyObjective
-	pause := retryAfterFraction * objective
 	retryAfter := 0.0
-	if r.settings.RetryAfterEnabled && r.now+pause+r.targetDelay < call.ArrivedAt+objective {
-		retryAfter = math.Min(pause, r.settings.MaxRetryAfter)
+	if r.settings.RetryAfterEnabled {
+		retryAfter = math.Max(0, math.Min(returnAt-r.now, r.settings.MaxRetryAfter))
 	}
 	r.host.Reject(call, retryAfter)
 	return finished
 }
+
+// returnTime returns when a caller that is refused now should come back: when the calls that wait for the
+// same endpoints have been sent, which is the work ahead of it. Refused callers are spread from then on by
+// the rate at which calls can be sent, so that they don't come back together; once the longest pause that
+// callers accept is full, the spread begins again. It returns 0 if nothing can be sent, as no time is known
+// then.
+func (r *Router) returnTime(call *routing.Call) float64 {
+	rate := r.sendRateFor(call.Class, math.Inf(1))
+	if rate <= 0 {
+		return 0
+	}
+	waiting := 1.0
+	for _, other := range r.queue {
+		if usesOnly(other.Class, call.Class) {
+			waiting++
+		}
+	}
+	drained := r.now + math.Max(0, waiting-r.attemptsUntil(call.Class, r.now))/rate
+	latest := r.now + r.settings.MaxRetryAfter
+	at := math.Max(drained, r.nextReturnAt)
+	if at > latest {
+		at = math.Min(drained, latest)
+	}
+	r.nextReturnAt = at + 1/rate
+	return at
+}
--- a/internal/router/selection.go
+++ b/internal/router/selection.go
@@ -17,11 +17,26 @@
 	}
 	*selected = r.drawEndpoint(call)
 	if *selected == nil {
-		return r.reject(call)
+		return r.reject(call, r.nextTicketsAt(call))
 	}
 	return proceed
 }
 
+// nextTicketsAt returns when the first endpoint with capacity for a call gets lottery tickets again by the
+// age of its report, or 0 if there is none.
+func (r *Router) nextTicketsAt(call *routing.Call) float64 {
+	next := math.Inf(1)
+	for _, endpoint := range r.endpoints {
+		if r.hasCapacity(call, endpoint) {
+			next = math.Min(next, stateOf(endpoint).reportedAt+staleZeroAge)
+		}
+	}
+	if math.IsInf(next, 1) {
+		return 0
+	}
+	return next
+}
+
 // drawEndpoint chooses an endpoint at random, with a probability proportional to its tickets. It returns nil
 // if no endpoint has tickets.
 func (r *Router) drawEndpoint(call *routing.Call) *routing.Endpoint {
