Settings: what a deployment is scored by is checked and no longer reaches a decision

The aim and the worth of later answers stood in routing.Class, where any decision could read them again. Cause: the settings' decoders passed them on. Evidence: TestScoringDoesNotDecide: settings that differ in aims, late worth, prices, goal and marks decode alike; it fails on the code before.

--- a/internal/deployment/deployment.go
+++ b/internal/deployment/deployment.go
@@ -68,13 +68,15 @@
 	} `json:"stats"`
 }
 
+// classObject is a class. The latency that is aimed at and the worth of later answers are checked and not used: a
+// deployment is scored by them, and calls are routed by the time that their callers have.
 type classObject struct {
-	Name               string   `json:"name"`
-	Semantics          string   `json:"semantics"`
-	LatencyObjective   float64  `json:"aim"`
-	Timeout            float64  `json:"hardLimit"`
-	LateWeightFraction float64  `json:"lateWorth"`
-	Weight             *float64 `json:"worth"`
+	Name             string   `json:"name"`
+	Semantics        string   `json:"semantics"`
+	LatencyObjective float64  `json:"aim"`
+	Timeout          float64  `json:"hardLimit"`
+	LateWorth        float64  `json:"lateWorth"`
+	Weight           *float64 `json:"worth"`
 }
 
 // Values in the platform's settings.
@@ -159,12 +161,10 @@
 func (o *settingsObject) class(i int) *routing.Class {
 	object := &o.Classes[i]
 	class := &routing.Class{
-		Name:               object.Name,
-		LatencyObjective:   object.LatencyObjective,
-		Timeout:            object.Timeout,
-		LateWeightFraction: object.LateWeightFraction,
-		Weight:             1,
-		Idempotent:         object.Semantics == semanticsPure || object.Semantics == "",
+		Name:       object.Name,
+		Timeout:    object.Timeout,
+		Weight:     1,
+		Idempotent: object.Semantics == semanticsPure || object.Semantics == "",
 	}
 	if object.Weight != nil {
 		class.Weight = *object.Weight
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -2,6 +2,9 @@
 
 import (
 	_ "embed"
+	"fmt"
+	"reflect"
+	"strings"
 	"testing"
 
 	"cobaltpier/internal/routing"
@@ -43,6 +46,35 @@
 	}
 }
 
+// TestScoringDoesNotDecide checks that settings which say how a deployment is scored (the latency that is aimed at, the
+// worth of later answers, prices, the weights of the result) change nothing that calls are routed by.
+func TestScoringDoesNotDecide(t *testing.T) {
+	const other = `{"lanes":[{"name":"a","hardLimit":9000%s},{"name":"b","hardLimit":6000,"worth":8%s}]%s}`
+	decode := func(first, second, rest string) *routing.Settings {
+		t.Helper()
+		settings, _, err := Decode([]byte(fmt.Sprintf(other, first, second, rest)), 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return settings
+	}
+	want := decode("", "", "")
+	for _, got := range []*routing.Settings{
+		decode(`,"aim":2000,"lateWorth":0.1`, `,"aim":800,"lateWorth":0.25`, ""),
+		decode(`,"aim":10,"lateWorth":1`, `,"aim":6000,"lateWorth":0`, ""),
+		decode("", "", `,"prices":{"lateFail":0.5,"waste":1},"goal":{"whole":0,"worstClass":1},"overShareWorth":0.2`),
+		decode("", "", `,"clients":{"marksRetry":true},"worthBy":"work"`),
+	} {
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("settings %+v, want %+v", got, want)
+		}
+	}
+	if _, _, err := Decode([]byte(`{"lanes":[{"name":"a","aim":"soon"}]}`), 7); err == nil ||
+		!strings.Contains(err.Error(), "aim") {
+		t.Errorf("error %v for an aim that is no number, want one that names the field", err)
+	}
+}
+
 func TestSetLoadReportField(t *testing.T) {
 	var r routing.LoadReport
 	if SetLoadReportField(&r, "free", 3) || SetLoadReportField(&r, "size", 40) || !SetLoadReportField(&r, "busy", 0.5) ||
--- a/internal/emulator/processrun/gatewayfile.go
+++ b/internal/emulator/processrun/gatewayfile.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cobaltpier/internal/emulator/scenario"
+	"cobaltpier/internal/emulator/scenariofile"
 	"cobaltpier/internal/protocol/b2bua"
 )
 
@@ -28,6 +29,7 @@
 	r.writeGateway(&w, g, config)
 	w.line("list {\n  addr = %q\n}\nlog {\n  level = %q\n}", r.listListener.Addr(), r.options.Level)
 	w.writeRules(config)
+	w.writeClasses(r.sim.Script.Classes)
 	w.writeTraffic(config)
 	if r.sim.Numbering != nil {
 		w.WriteString(r.numberSettings(i))
@@ -64,13 +66,17 @@
 	w.line("  tip_multiple = %g\n  tip_time = %q\n}", s.OverloadFactor, duration(s.OverloadWindow))
 }
 
-// writeTraffic writes the classes, tenants and trunk groups.
-func (w *fileWriter) writeTraffic(c *b2bua.Config) {
-	for _, class := range c.Settings.Classes {
-		w.line("skill %q {\n  target = %q", class.Name, duration(class.LatencyObjective))
-		w.line("  patience = %q\n  value = %g", duration(class.Timeout), class.Weight)
-		w.line("  late_value = %g\n  hold = %q\n}", class.LateWeightFraction, duration(class.MeanHoldingTime))
+// writeClasses writes the classes.
+func (w *fileWriter) writeClasses(classes []scenariofile.Class) {
+	for _, class := range classes {
+		w.line("skill %q {\n  target = %q", class.Name, duration(class.Target))
+		w.line("  patience = %q\n  value = %g", duration(class.Patience), class.Value)
+		w.line("  late_value = %g\n  hold = %q\n}", class.Late, duration(class.Hold))
 	}
+}
+
+// writeTraffic writes the tenants and trunk groups.
+func (w *fileWriter) writeTraffic(c *b2bua.Config) {
 	for _, tenant := range c.Settings.Tenants {
 		w.line("customer %q {\n}", tenant.Name)
 	}
--- a/internal/emulator/scenario/scenario.go
+++ b/internal/emulator/scenario/scenario.go
@@ -385,8 +385,8 @@
 	for _, k := range s.Classes {
 		set.Classes = append(
 			set.Classes,
-			&routing.Class{Name: k.Name, LatencyObjective: k.Target, Timeout: k.Patience, Weight: k.Value,
-				LateWeightFraction: k.Late, MeanHoldingTime: k.Hold, Idempotent: true},
+			&routing.Class{
+				Name: k.Name, Timeout: k.Patience, Weight: k.Value, MeanHoldingTime: k.Hold, Idempotent: true},
 		)
 	}
 	for _, c := range s.Tenants {
--- a/internal/gateway/gatewayconfig/settings.go
+++ b/internal/gateway/gatewayconfig/settings.go
@@ -192,22 +192,17 @@
 	settings := c.Settings
 	for _, block := range root.Blocks("skill", 1) {
 		class := &routing.Class{
-			Name:             block.Labels[0],
-			LatencyObjective: block.Ms("target", hclconfig.Required, 1, dayMillis),
-			Timeout:          block.Ms("patience", hclconfig.Required, 1, dayMillis),
-			Weight: block.Num(
-				"value",
-				1,
-				0,
-				1e9,
-			),
-			LateWeightFraction: block.Num("late_value", 0, 0, 1),
-			MeanHoldingTime:    block.Ms("hold", 0, 0, dayMillis),
-			Idempotent:         block.Flag("repeat", true),
+			Name:            block.Labels[0],
+			Timeout:         block.Ms("patience", hclconfig.Required, 1, dayMillis),
+			Weight:          block.Num("value", 1, 0, 1e9),
+			MeanHoldingTime: block.Ms("hold", 0, 0, dayMillis),
+			Idempotent:      block.Flag("repeat", true),
 		}
-		if class.LatencyObjective > class.Timeout {
+		// These say how service is scored. They are checked and not used: calls are routed by their callers' time.
+		if target := block.Ms("target", hclconfig.Required, 1, dayMillis); target > class.Timeout {
 			block.AddError("target", "target: want at most patience")
 		}
+		block.Num("late_value", 0, 0, 1)
 		settings.Classes = append(settings.Classes, class)
 	}
 	if len(settings.Classes) == 0 {
--- a/internal/protocol/b2bua/testhost_test.go
+++ b/internal/protocol/b2bua/testhost_test.go
@@ -89,8 +89,8 @@
 		RetryHoldOff:      500,
 		AnswerGrace:       20,
 		Classes: []*routing.Class{
-			{Name: "shift-lookup", LatencyObjective: 2000, Timeout: 9000, Weight: 1},
-			{Name: "claim", LatencyObjective: 1000, Timeout: 6000, Weight: 5},
+			{Name: "shift-lookup", Timeout: 9000, Weight: 1},
+			{Name: "claim", Timeout: 6000, Weight: 5},
 		},
 	}
 	host.agent = New(
--- a/internal/protocol/binarygateway/simulation_test.go
+++ b/internal/protocol/binarygateway/simulation_test.go
@@ -48,7 +48,7 @@
 		OverloadFactor:     2.5,
 		OverloadWindow:     1000,
 		Classes: []*routing.Class{
-			{Name: "voice", LatencyObjective: 1000, Timeout: 3000, Weight: 1, MeanHoldingTime: 800, Idempotent: idempotent},
+			{Name: "voice", Timeout: 3000, Weight: 1, MeanHoldingTime: 800, Idempotent: idempotent},
 		},
 	}
 	checker := binaryconformance.New(
--- a/internal/protocol/binarygateway/testgateway_test.go
+++ b/internal/protocol/binarygateway/testgateway_test.go
@@ -152,7 +152,7 @@
 		RetryHoldOff:      500,
 		AnswerGrace:       20,
 		Classes: []*routing.Class{
-			{Name: "voice", LatencyObjective: 2000, Timeout: 9000, Weight: 1, Idempotent: true},
+			{Name: "voice", Timeout: 9000, Weight: 1, Idempotent: true},
 		},
 	}
 	g.gateway = New(
--- a/internal/router/sendrate.go
+++ b/internal/router/sendrate.go
@@ -75,7 +75,7 @@
 }
 
 // updateSendRate updates an endpoint's send rate and tokens. The rate falls while the queueing delay there
-// is above the objective, and grows otherwise. Gateways that all do so share an endpoint without
+// is above the target, and grows otherwise. Gateways that all do so share an endpoint without
 // coordination and without stopping and starting in step. This guards against long queues of any cause:
 // overload, slow processors, other work on them, traffic that concentrates on one endpoint. The rate grows
 // more slowly the rarer load updates of the endpoint are, as with hundreds of gateways: otherwise each
--- a/internal/router/testhost_test.go
+++ b/internal/router/testhost_test.go
@@ -110,12 +110,10 @@
 		retryNotBefore: map[*routing.Call]float64{}, drained: map[*routing.Endpoint]bool{},
 		startedAt: map[*routing.Endpoint]float64{}, sentAt: map[*routing.Endpoint][]float64{}}
 	h.class = &routing.Class{
-		LatencyObjective:   2000,
-		Timeout:            9000,
-		Weight:             1,
-		LateWeightFraction: 0.1,
-		MeanHoldingTime:    10000,
-		Idempotent:         true,
+		Timeout:         9000,
+		Weight:          1,
+		MeanHoldingTime: 10000,
+		Idempotent:      true,
 	}
 	h.router = New(
 		&routing.Settings{
--- a/internal/routing/call.go
+++ b/internal/routing/call.go
@@ -1,12 +1,11 @@
 package routing
 
-// Class is a class of calls.
+// Class is a class of calls. It holds nothing that a deployment is scored by, such as a latency that is aimed at: how
+// long a call waits follows from the time that its caller has.
 type Class struct {
 	Name                string
-	LatencyObjective    float64      // ms: a call established within this has its full weight
 	Timeout             float64      // ms: callers give up after this, counted over all attempts
-	Weight              float64      // of a call that is established in time
-	LateWeightFraction  float64      // of Weight, for one that is established later
+	Weight              float64      // which calls matter most if not all can be served
 	MeanHoldingTime     float64      // ms that a call stays established
 	Idempotent          bool         // a setup that may have been executed may be sent again
 	AllowedDestinations map[int]bool // destination IDs that calls of the class may be sent to; nil: all
