Queue: calls that arrive together are judged without a pass over the queue each

Seen: each call that arrives while others wait had the whole queue served and judged again. Cause: admit called serveQueue for each call. Change: after a pass at the same instant, while no endpoint takes a call, only the new call is judged, or what it displaces.

--- a/internal/router/hopeless.go
+++ b/internal/router/hopeless.go
@@ -52,6 +52,16 @@
 	return hopeless
 }
 
+// lastInTime reports whether the last call of the queue can be served in time.
+func (r *Router) lastInTime() bool {
+	ahead := &backlog{router: r}
+	for _, call := range r.queue {
+		ahead.add(call)
+	}
+	last := r.queue[len(r.queue)-1]
+	return ahead.inTime(last, ahead.of(last.Class))
+}
+
 // add appends a call to the backlog of its class and returns that.
 func (b *backlog) add(call *routing.Call) *classBacklog {
 	own := b.of(call.Class)
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -15,17 +15,26 @@
 	if len(r.queue) == 0 && r.anyCapacity(call) {
 		return proceed
 	}
-	r.enqueue(call)
-	r.serveQueue()
+	isLast := r.enqueue(call)
+	if r.queueServedAt != r.now || r.anyEndpointOpen() {
+		r.serveQueue()
+		return pending
+	}
+	// Of calls that arrive together, only what this one changes needs a look.
+	if !isLast || !r.lastInTime() {
+		r.giveUpQueued(r.takeHopeless())
+	}
+	r.scheduleQueueWakeup()
 	return pending
 }
 
-// enqueue inserts a call into the queue; of calls with the same deadline, those that were queued before are
-// first.
-func (r *Router) enqueue(call *routing.Call) {
+// enqueue inserts a call into the queue and reports whether it is the last one. Of calls with the same
+// deadline, those that were queued before are first.
+func (r *Router) enqueue(call *routing.Call) (isLast bool) {
 	call.Queued = true
 	position, _ := slices.BinarySearchFunc(r.queue, call.Deadline, notAfter)
 	r.queue = slices.Insert(r.queue, position, call)
+	return position == len(r.queue)-1
 }
 
 // notAfter compares a queued call with a deadline for a search for the first call that has a later one.
@@ -39,6 +48,7 @@
 // serveQueue passes on queued calls while there is capacity, and gives up those that can't be served in time.
 func (r *Router) serveQueue() {
 	r.updateSendRates()
+	r.queueServedAt = r.now
 	waiting := r.queue
 	r.queue = nil
 	setupTimes := map[*routing.Class]float64{}
@@ -64,6 +74,11 @@
 	}
 	r.queue = remaining
 	r.giveUpQueued(append(late, r.takeHopeless()...))
+	r.scheduleQueueWakeup()
+}
+
+// scheduleQueueWakeup has the queue served again after queueInterval while calls wait.
+func (r *Router) scheduleQueueWakeup() {
 	if len(r.queue) > 0 && !r.queueWakeupSet {
 		r.queueWakeupSet = true
 		r.host.ScheduleWakeup(r.now+queueInterval, nil)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -34,6 +34,7 @@
 
 	queue          []*routing.Call // calls waiting for capacity, in the order of their deadlines
 	queueWakeupSet bool
+	queueServedAt  float64 // when the whole queue was last served
 	nextReturnAt   float64 // when the next refused caller should come back
 
 	offered            offeredLoad
