Shed calls are told when to return, as rejected ones are

Callers: a call that was shed before the router (too many pending) got a refusal without a time, so that its caller came back on its own pause into the same flood. Cause: load shedding answers before the policy sees the call, and the policy alone knows when the calls that wait have been sent. Change: routing.Policy.RetryAfter; call control asks it for a shed call. Evidence: TestShed, which fails on the code before (no Retry-After). Tests of router, protocols, simadapter and scenario pass.

--- a/internal/emulator/baseline/baseline.go
+++ b/internal/emulator/baseline/baseline.go
@@ -151,6 +151,9 @@
 	}
 }
 
+// RetryAfter implements routing.Policy. The baselines tell callers nothing.
+func (b *Plain) RetryAfter(float64, *routing.Call) float64 { return 0 }
+
 func (b *Plain) randomFloat() float64 {
 	b.draws++
 	return detrand.Float64(b.settings.Seed, b.draws)
--- a/internal/gateway/simadapter/simadapter_test.go
+++ b/internal/gateway/simadapter/simadapter_test.go
@@ -42,6 +42,7 @@
 	r.note("report %v %v free %v util %v", ok, complete, p.LoadReport.Free, p.LoadReport.Utilization)
 }
 func (r *recorder) OnGossip(_ float64, from int, data []byte) { r.note("told %d %s", from, data) }
+func (r *recorder) RetryAfter(float64, *routing.Call) float64 { return 0 }
 func (r *recorder) OnWakeup(now float64, c *routing.Call) {
 	r.note("woken")
 	r.host.SendGossip(1, []byte("hi"))
--- a/internal/protocol/b2bua/call.go
+++ b/internal/protocol/b2bua/call.go
@@ -113,13 +113,14 @@
 	return h.Sum64()
 }
 
-// overloadedResponse is the response to a call that is shed. It is the same each time, so no state is kept for it.
+// overloadedResponse is the response to a call that is shed. It is the same each time, so no state is kept for it, and
+// it names no time to call again: that would be another each time.
 func (a *Agent) overloadedResponse(req *sip.Request) *sip.Response {
 	return siptransaction.Response(req, 503, "Service Unavailable", "busy")
 }
 
 // SendShed implements callcontrol.SignalingLeg.
-func (c *call) SendShed() {
+func (c *call) SendShed(float64) {
 	c.releaseTable()
 	c.agent.refusals.Add(c.agent.Now, transactionKey(c.invite))
 	c.server.RespondStateless(c.agent.overloadedResponse(c.invite))
--- a/internal/protocol/b2bua/enquiry.go
+++ b/internal/protocol/b2bua/enquiry.go
@@ -71,9 +71,9 @@
 }
 
 // SendShed implements callcontrol.SignalingLeg.
-func (q *enquiry) SendShed() {
+func (q *enquiry) SendShed(wait float64) {
 	q.releaseTable()
-	q.done(q.agent.Now, EnquiryResult{Code: 503, Reason: "busy"})
+	q.done(q.agent.Now, EnquiryResult{Code: 503, Reason: "busy", RetryAfter: wait})
 }
 
 // OnAccepted implements callcontrol.SignalingLeg.
--- a/internal/protocol/b2bua/testhost_test.go
+++ b/internal/protocol/b2bua/testhost_test.go
@@ -50,6 +50,8 @@
 
 func (p *scriptedPolicy) OnGossip(float64, int, []byte) {}
 
+func (p *scriptedPolicy) RetryAfter(float64, *routing.Call) float64 { return 250 }
+
 func (p *scriptedPolicy) OnWakeup(now float64, routed *routing.Call) {
 	if p.onWakeup != nil {
 		p.onWakeup(now, routed)
--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -49,19 +49,23 @@
 
 // SendRejection implements callcontrol.SignalingLeg.
 func (c *call) SendRejection(retryAfter float64) {
-	cause := binarymessage.CauseParam(binarymessage.Congested)
+	c.sendRefusal(c.rejectionParams(retryAfter)...)
+}
+
+// rejectionParams returns the parameters of a rejection; a retryAfter above 0 asks the caller to wait that many ms.
+func (c *call) rejectionParams(retryAfter float64) []binarymessage.Param {
+	params := []binarymessage.Param{binarymessage.CauseParam(binarymessage.Congested)}
 	if retryAfter > 0 && c.gateway.config.Settings.RetryAfterEnabled {
 		milliseconds := strconv.Itoa(int(math.Ceil(retryAfter)))
-		c.sendRefusal(cause, binarymessage.TextParam(binarymessage.RetryAfter, milliseconds))
-		return
+		params = append(params, binarymessage.TextParam(binarymessage.RetryAfter, milliseconds))
 	}
-	c.sendRefusal(cause)
+	return params
 }
 
 // SendShed implements callcontrol.SignalingLeg.
-func (c *call) SendShed() {
+func (c *call) SendShed(retryAfter float64) {
 	if c.conn != nil {
-		c.conn.send(releaseMessage(c.id, binarymessage.Congested))
+		c.conn.send(binarymessage.Append(nil, binarymessage.Release, c.id, c.rejectionParams(retryAfter)...))
 	}
 	c.forget()
 }
--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -186,6 +186,22 @@
 	}
 }
 
+// TestShed: a call that is not admitted is answered at once, with the Retry-After value of the policy, and is not passed
+// to the policy.
+func TestShed(t *testing.T) {
+	g := newTestGateway(t)
+	g.gateway.LoadShedder.MaxPending = 0
+	caller := g.acceptClient()
+	g.deliverSetup(caller, 7)
+	g.expectMessage(caller.lastMessage(7), binarymessage.Release, binarymessage.Congested)
+	if retryAfter := caller.lastMessage(7).Text(binarymessage.RetryAfter); retryAfter != "250" {
+		t.Errorf("got Retry-After %q ms, want 250", retryAfter)
+	}
+	if g.gateway.Counts.Shed != 1 || g.gateway.Counts.Accepted != 0 {
+		t.Errorf("counts %+v, want one call that was shed", g.gateway.Counts)
+	}
+}
+
 // TestMalformedMessages: malformed data closes the endpoint connection. Setups on it may have been executed; those
 // on other connections continue.
 func TestMalformedMessages(t *testing.T) {
--- a/internal/protocol/binarygateway/simulation_test.go
+++ b/internal/protocol/binarygateway/simulation_test.go
@@ -244,6 +244,7 @@
 func (p *ruleBreakingPolicy) OnHangup(now float64, call *routing.Call)            { p.act(now, call) }
 func (p *ruleBreakingPolicy) OnLoadReport(float64, *routing.Endpoint, bool, bool) {}
 func (p *ruleBreakingPolicy) OnGossip(float64, int, []byte)                       {}
+func (p *ruleBreakingPolicy) RetryAfter(float64, *routing.Call) float64           { return 0 }
 func (p *ruleBreakingPolicy) OnWakeup(now float64, call *routing.Call)            { p.act(now, call) }
 
 // TestGuards: with all guards, traffic conforms to the rules even under a policy that breaks them. With a guard
--- a/internal/protocol/binarygateway/testgateway_test.go
+++ b/internal/protocol/binarygateway/testgateway_test.go
@@ -85,6 +85,7 @@
 func (p *scriptedPolicy) OnGossip(_ float64, gateway int, message []byte) {
 	p.events = append(p.events, fmt.Sprintf("gossip from %d: %s", gateway, message))
 }
+func (p *scriptedPolicy) RetryAfter(float64, *routing.Call) float64 { return 250 }
 func (p *scriptedPolicy) OnWakeup(_ float64, c *routing.Call) {
 	if c != nil && !c.Finished {
 		p.attemptNext(c)
--- a/internal/protocol/callcontrol/session.go
+++ b/internal/protocol/callcontrol/session.go
@@ -12,8 +12,9 @@
 	SendFailure()
 	// SendRejection sends the final answer "rejected"; a retryAfter above 0 asks the caller to wait that many ms.
 	SendRejection(retryAfter float64)
-	// SendShed sends the final answer to a call that was not admitted. No state of the call is kept.
-	SendShed()
+	// SendShed sends the final answer to a call that was not admitted, as SendRejection does. No state of the call is
+	// kept.
+	SendShed(retryAfter float64)
 	// OnAccepted reports that the call was admitted. It returns false if the call is not ready for the policy; then
 	// Prepare is called.
 	OnAccepted() bool
@@ -77,7 +78,7 @@
 	}
 	s.controller.Counts.Shed++
 	s.Finished = true
-	s.SendShed()
+	s.SendShed(s.controller.Router.RetryAfter(s.controller.Now, s.Call))
 }
 
 // accept passes an admitted call to the policy, or first starts its preparation. After StopAdmitting it rejects the
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -22,14 +22,25 @@
 // future.
 func (r *Router) reject(call *routing.Call, returnAt float64) stageResult {
 	r.offered.onUnserved(r.now, call)
-	retryAfter := 0.0
-	if r.settings.RetryAfterEnabled {
-		retryAfter = math.Max(0, math.Min(returnAt-r.now, r.settings.MaxRetryAfter))
-	}
-	r.host.Reject(call, retryAfter)
+	r.host.Reject(call, r.retryAfter(returnAt))
 	return finished
 }
 
+// RetryAfter implements routing.Policy.
+func (r *Router) RetryAfter(now float64, call *routing.Call) float64 {
+	r.setTime(now)
+	return r.retryAfter(r.returnTime(call))
+}
+
+// retryAfter returns what a caller that should come back at a time is told: the pause until then, as far as the
+// settings allow it, or 0 for no pause.
+func (r *Router) retryAfter(returnAt float64) float64 {
+	if !r.settings.RetryAfterEnabled {
+		return 0
+	}
+	return math.Max(0, math.Min(returnAt-r.now, r.settings.MaxRetryAfter))
+}
+
 // returnTime returns when a caller that is refused now should come back: when the calls that wait for the
 // same endpoints have been sent, which is the work ahead of it. Refused callers are spread from then on by
 // the rate at which calls can be sent, so that they don't come back together; once the longest pause that
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -45,6 +45,9 @@
 	OnGossip(now float64, gateway int, message []byte)
 	// OnWakeup is the wakeup scheduled by ScheduleWakeup.
 	OnWakeup(now float64, call *Call)
+	// RetryAfter returns the ms after which the caller of a call that was refused, and not passed to the policy, should
+	// call again; 0: not known.
+	RetryAfter(now float64, call *Call) float64
 }
 
 // PolicyFactory creates the policy of one gateway.
