Time of a setup: from the mean and deviation of its answers, so that none is sent too late

Callers: a call was sent with little more time left than the shortest latency ever seen; where answers vary, its caller was gone when the answer came, and the endpoint's work was lost for others. Cause: answerTime took the shortest latency and the averaged delay. Change: setupEstimate, as TCP estimates its time-out (RFC 6298): mean plus four deviations; what lies above the shortest latency is work that the endpoint has done after that time. Samples are bounded as those of the delay are. Evidence: TestGivenUpWhenAnswersTakeTooLong fails on the code before ('answers took 20 and 400 ms by turns: a call with 200 ms left was sent').

--- a/internal/router/fairness_test.go
+++ b/internal/router/fairness_test.go
@@ -355,3 +355,29 @@
 		t.Error("the hold-off leaves 100 ms, and a setup takes 200 ms: want the call given up at once")
 	}
 }
+
+// TestGivenUpWhenAnswersTakeTooLong checks that a call is not sent where answers have taken longer lately than its
+// caller has left, but given up at once, and that the endpoint is used again when it has had the time to catch up.
+func TestGivenUpWhenAnswersTakeTooLong(t *testing.T) {
+	h, endpoints := newTestHost(1)
+	endpoints[0].LoadReport.Capacity, endpoints[0].LoadReport.Free = 1000, 500
+	for range 20 {
+		for _, latency := range []float64{400, 20} {
+			h.advance(50)
+			h.establish(h.offerCall(endpoints[0]), latency)
+		}
+	}
+	h.timeLeft = 200
+	if call := h.offerCall(endpoints[0]); !call.Finished || call.Attempts > 0 {
+		t.Error("answers took 20 and 400 ms by turns: a call with 200 ms left was sent")
+	}
+	h.timeLeft = 2000
+	if call := h.offerCall(endpoints[0]); call.Finished {
+		t.Error("a call with 2 s left was given up")
+	}
+	h.advance(1000)
+	h.timeLeft = 200
+	if call := h.offerCall(endpoints[0]); call.Finished {
+		t.Error("a call with 200 ms left was given up a second later, when all work was done")
+	}
+}
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -64,12 +64,13 @@
 		(class.AllowedDestinations == nil || class.AllowedDestinations[endpoint.DestinationID])
 }
 
-// answerTime returns when an endpoint can answer a setup that is sent to it at a time: after the shortest
-// latency that was seen there, and after the work that waited there when its queueing delay was last
-// measured, less what it has done since. It is a lower bound: a call is never refused because an old
-// measurement has not decayed.
+// answerTime returns when an endpoint will have answered a setup that is sent to it at a time: by the
+// latencies of earlier setups, or by the queueing delay that was told by other means, less what it has done
+// since.
 func (s *endpointState) answerTime(sentAt float64) float64 {
-	return sentAt + s.minLatencyOrZero() + math.Max(0, s.delay-(sentAt-s.delayAt))
+	minLatency := s.minLatencyOrZero()
+	toldDelay := math.Max(0, s.delay-(sentAt-s.delayAt))
+	return sentAt + math.Max(s.setups.at(sentAt, minLatency), minLatency+toldDelay)
 }
 
 // setupTime returns the least time from sending a call of a class at a time until it is answered.
--- a/internal/router/load.go
+++ b/internal/router/load.go
@@ -43,6 +43,7 @@
 func (r *Router) learnFromAnswer(state *endpointState, latency float64) {
 	r.recordUpdate(state)
 	state.minLatency = math.Min(state.minLatency, latency)
+	state.setups.add(r.now, math.Min(latency, state.minLatency+maxDelayFactor*r.targetDelay))
 	state.latencyAt = r.now
 	delay := latency - state.minLatency
 	if delay >= r.targetDelay && delay <= r.stalledFor {
--- a/internal/router/refusal.go
+++ b/internal/router/refusal.go
@@ -32,8 +32,8 @@
 	return r.retryAfter(r.returnTime(call))
 }
 
-// retryAfter returns what a caller that should come back at a time is told: the pause until then, as far as the
-// settings allow it, or 0 for no pause.
+// retryAfter returns what a caller that should come back at a time is told: the pause until then, as far as
+// the settings allow it, or 0 for no pause.
 func (r *Router) retryAfter(returnAt float64) float64 {
 	if !r.settings.RetryAfterEnabled {
 		return 0
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -12,6 +12,7 @@
 type endpointState struct {
 	// latency and queueing delay
 	minLatency     float64 // shortest time from sending an attempt to its answer
+	setups         setupEstimate
 	latencyAt      float64 // when a latency was last measured at this gateway
 	delay          float64 // estimated queueing delay at delayAt
 	delayAt        float64
