Forecast: the lesser of the present and the mean send rate

Cause: the forecast took the present rate and let it grow. Change: the lesser of the present rate and the mean of rateWindow, without growth; it still starts only when a delay above the target has been worked off. Evidence: TestForecastFollowsMeanRate fails on the code before ('39 calls wait for 2 s at a mean rate of 5 a second, want 1 to 10').

--- a/internal/router/fairness_test.go
+++ b/internal/router/fairness_test.go
@@ -381,3 +381,24 @@
 		t.Error("a call with 200 ms left was given up a second later, when all work was done")
 	}
 }
+
+// TestForecastFollowsMeanRate checks that callers are not kept waiting for a send rate that is higher than the mean for
+// a moment only: a call is refused at once if the calls ahead take longer than its time at the mean rate.
+func TestForecastFollowsMeanRate(t *testing.T) {
+	const meanRate, momentaryRate = 5.0, 20.0
+	h := newSteadyHost([]float64{meanRate}, 20)
+	for range 500 {
+		h.now += 10
+		h.router.setTime(h.now)
+		h.router.updateSendRate(h.endpoints[0])
+	}
+	state := stateOf(h.endpoints[0])
+	state.tokens, state.sendRate = 0, momentaryRate/1000
+	h.timeLeft = 2000
+	for range 100 {
+		h.offerCall(h.endpoints[0])
+	}
+	if waiting, most := len(h.router.queue), meanRate*h.timeLeft/1000; waiting == 0 || float64(waiting) > most {
+		t.Errorf("%d calls wait for 2 s at a mean rate of %v a second, want 1 to %v", waiting, meanRate, most)
+	}
+}
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -3,34 +3,43 @@
 import (
 	"math"
 
+	"cobaltpier/internal/decaysum"
 	"cobaltpier/internal/routing"
 )
 
-// sendForecast describes how the tokens of an endpoint develop. An endpoint whose queueing delay is above the
-// target first works the excess off. From then on the send rate grows while there is headroom, up to its
-// limit, and else stays.
+// sendForecast describes how many tokens of an endpoint fall due: at the lesser of the present and the recent
+// mean rate, as rates swing around what the endpoint takes. An endpoint whose queueing delay is above the
+// target first works the excess off.
 type sendForecast struct {
-	startsAt  float64 // no tokens are earned before this
-	rate      float64 // tokens earned a millisecond, at startsAt
-	rateLimit float64 // and at most
-	growth    float64 // relative growth of rate a millisecond, 0 or more
+	earned   decaysum.Sum // tokens earned lately
+	duration decaysum.Sum // and the ms in which they were
+	rate     float64      // tokens a millisecond
+	startsAt float64      // no tokens fall due before this
 }
 
-// tokensWithin returns the tokens that are earned within a time after startsAt.
-func (f *sendForecast) tokensWithin(duration float64) float64 {
-	if duration <= 0 {
-		return 0
-	}
-	if f.growth <= 0 || f.rate >= f.rateLimit {
-		return f.rate * duration
+func newSendForecast() sendForecast {
+	return sendForecast{earned: decaysum.New(rateWindow), duration: decaysum.New(rateWindow)}
+}
+
+// update records the rate at which tokens were earned up to now, the rate at which they will be without
+// delay, and for how long none will be.
+func (f *sendForecast) update(now, elapsed, earnedRate, rate, pause float64) {
+	weight := math.Min(elapsed, rateWindow)
+	f.earned.Add(now, weight*earnedRate)
+	f.duration.Add(now, weight)
+	f.startsAt = now + pause
+	f.rate = rate
+	if duration := f.duration.Read(now); duration > 0 {
+		f.rate = math.Min(rate, f.earned.Read(now)/duration)
 	}
-	growing := math.Min(duration, math.Log(f.rateLimit/f.rate)/f.growth)
-	return f.rate/f.growth*(math.Exp(f.growth*growing)-1) + f.rateLimit*(duration-growing)
 }
 
+// tokensUntil returns the tokens that fall due until a time.
+func (f *sendForecast) tokensUntil(at float64) float64 { return f.rate * math.Max(0, at-f.startsAt) }
+
 // attemptsUntil returns how many attempts an endpoint will take from this gateway until a time.
 func (s *endpointState) attemptsUntil(at float64) float64 {
-	return s.tokens + s.forecast.tokensWithin(at-math.Max(s.forecast.startsAt, s.pausedUntil))
+	return s.tokens + s.forecast.tokensUntil(at)
 }
 
 // attemptsUntil returns how many calls of a class this gateway can send until a time. Parts of tokens of
@@ -45,14 +54,12 @@
 	return total
 }
 
-// sendRateFor returns how many calls of a class a millisecond this gateway can send from a time on, if the
-// rates do not grow.
+// sendRateFor returns how many calls of a class a millisecond this gateway can send from a time on.
 func (r *Router) sendRateFor(class *routing.Class, from float64) float64 {
 	total := 0.0
 	for _, endpoint := range r.endpoints {
-		state := stateOf(endpoint)
-		if usable(class, endpoint) && from >= math.Max(state.forecast.startsAt, state.pausedUntil) {
-			total += state.forecast.rate
+		if forecast := &stateOf(endpoint).forecast; usable(class, endpoint) && from >= forecast.startsAt {
+			total += forecast.rate
 		}
 	}
 	return total
--- a/internal/router/hopeless.go
+++ b/internal/router/hopeless.go
@@ -126,7 +126,7 @@
 	for _, other := range own.contenders {
 		needed += len(other.calls)
 	}
-	// No rate falls in the forecast, so that the first estimate is a lower bound of the second.
+	// The first estimate, without the endpoints that work off a delay, is a lower bound of the second.
 	return float64(needed) <= own.tokens+own.rate*(latestSend-r.now) ||
 		float64(needed) <= r.attemptsUntil(call.Class, latestSend)
 }
--- a/internal/router/sendrate.go
+++ b/internal/router/sendrate.go
@@ -95,13 +95,9 @@
 	rate := math.Min(limit, math.Min(limit, state.sendRate)*math.Exp(headroom*growth*elapsed))
 	state.sendRate = math.Max(rate, math.Max(r.evenShare(minSendRate), minEvenShares*share))
 	earned := 1 + immediateCorrection*headroom
-	excess := math.Max(0, delayRatio-1) * r.targetDelay
-	state.forecast = sendForecast{
-		startsAt:  r.now + excess,
-		rate:      math.Max(1, earned) * state.sendRate,
-		rateLimit: math.Max(1, earned) * limit,
-		growth:    math.Max(0, headroom*growth),
-	}
+	excessDelay := math.Max(0, delayRatio-1) * r.targetDelay
+	state.forecast.update(r.now, elapsed, earned*state.sendRate, math.Max(1, earned)*state.sendRate,
+		math.Max(excessDelay, state.pausedUntil-r.now))
 	state.tokens += elapsed * earned * state.sendRate
 	if state.tokens > 2 && state.sendRate*tokenLifetime < 1 {
 		state.tokens = 1 + fraction(state.tokens)
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -68,6 +68,7 @@
 		tokens:              1 - r.random()*(1-r.evenShare(1)),
 		slowStartTokens:     r.random(),
 		updateInterval:      1000,
+		forecast:            newSendForecast(),
 		gossipDelay:         -1,
 	}
 }
