No tickets: a call is refused only if it may go nowhere, not for a full endpoint

Cause: a call left the queue when any endpoint had a token, and was refused if that endpoint reported nothing free, though its destination, or an endpoint with free capacity, only had no token in that moment. The design page refuses a call with no tickets anywhere. Change: a call is taken from the queue for an endpoint that selectEndpoint may select. It is refused at once if its destination takes no calls and all others report nothing free (mayGetTickets), with the time at which the first report is stale. A destination that fails much is taken if the lottery has no tickets. Evidence: TestWaitsForDestinationWhileOthersReportNothingFree fails on the code before ('finished true, 0 attempts').

--- a/internal/router/fairness_test.go
+++ b/internal/router/fairness_test.go
@@ -402,3 +402,24 @@
 		t.Errorf("%d calls wait for 2 s at a mean rate of %v a second, want 1 to %v", waiting, meanRate, most)
 	}
 }
+
+// TestWaitsForDestinationWhileOthersReportNothingFree checks that a call waits for its destination, which shows free
+// agents, while the only endpoint with a token reports no free capacity, and is refused if nothing else is there.
+func TestWaitsForDestinationWhileOthersReportNothingFree(t *testing.T) {
+	h, endpoints := newTestHost(2)
+	h.router.settings.RetryAfterEnabled, h.router.settings.MaxRetryAfter = true, 60000
+	endpoints[1].LoadReport.Utilization = 1
+	h.router.OnLoadReport(h.now, endpoints[1], true, true)
+	stateOf(endpoints[0]).pausedUntil = h.now + 300
+	call := h.offerCall(endpoints[0])
+	if h.advance(400); call.InFlight == nil || call.InFlight.Endpoint != endpoints[0] {
+		t.Errorf("finished %v, %d attempts; want the call sent to its destination after the pause", call.Finished,
+			call.Attempts)
+	}
+	endpoints[0].State = routing.Draining
+	refused := h.offerCall(endpoints[0])
+	if told := h.retryAfter[refused]; !refused.Finished || told != staleZeroAge-400 {
+		t.Errorf("refused %v, told to return after %v ms; want that when the report is %v ms old", refused.Finished, told,
+			staleZeroAge)
+	}
+}
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -15,6 +15,9 @@
 	if len(r.queue) == 0 && r.anyCapacity(call) {
 		return proceed
 	}
+	if !r.mayGetTickets(call) {
+		return r.reject(call, r.nextTicketsAt(call))
+	}
 	isLast := r.enqueue(call)
 	if r.queueServedAt != r.now || r.anyEndpointOpen() {
 		r.serveQueue()
--- a/internal/router/selection.go
+++ b/internal/router/selection.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"cobaltpier/internal/routing"
 )
@@ -10,24 +11,43 @@
 // below the best one. Otherwise it chooses an endpoint at random, by lottery (docs/design.md).
 func (r *Router) selectEndpoint(call *routing.Call, selected **routing.Endpoint) stageResult {
 	destination := call.Destination
-	if destination != nil && r.hasCapacity(call, destination) &&
-		r.successRate(destination) >= minSuccessRatio*r.bestSuccessRate(call) {
+	toDestination := destination != nil && r.hasCapacity(call, destination)
+	if !toDestination || r.successRate(destination) < minSuccessRatio*r.bestSuccessRate(call) {
+		*selected = r.drawEndpoint(call)
+	}
+	if *selected == nil && toDestination {
 		*selected = destination
-		return proceed
 	}
-	*selected = r.drawEndpoint(call)
 	if *selected == nil {
-		return r.reject(call, r.nextTicketsAt(call))
+		return r.giveUp(call)
 	}
 	return proceed
 }
 
-// nextTicketsAt returns when the first endpoint with capacity for a call gets lottery tickets again by the
-// age of its report, or 0 if there is none.
+// isSelectable reports whether selectEndpoint may select an endpoint now: the destination needs capacity, any
+// other endpoint lottery tickets as well.
+func (r *Router) isSelectable(call *routing.Call, endpoint *routing.Endpoint) bool {
+	if endpoint == call.Destination {
+		return r.hasCapacity(call, endpoint)
+	}
+	return r.freeFraction(endpoint) > 0 && r.hasCapacity(call, endpoint)
+}
+
+// mayGetTickets reports whether a call may be sent to its destination, or any endpoint has lottery tickets
+// for it apart from the tokens and agents that it may wait for. If not, the design has it refused
+// (docs/design.md).
+func (r *Router) mayGetTickets(call *routing.Call) bool {
+	return slices.ContainsFunc(r.endpoints, func(endpoint *routing.Endpoint) bool {
+		return usable(call.Class, endpoint) && (endpoint == call.Destination || r.freeFraction(endpoint) > 0)
+	})
+}
+
+// nextTicketsAt returns when the first endpoint that a call may use gets lottery tickets again by the age of
+// its report, or 0 if there is none.
 func (r *Router) nextTicketsAt(call *routing.Call) float64 {
 	next := math.Inf(1)
 	for _, endpoint := range r.endpoints {
-		if r.hasCapacity(call, endpoint) {
+		if usable(call.Class, endpoint) {
 			next = math.Min(next, stateOf(endpoint).reportedAt+staleZeroAge)
 		}
 	}
--- a/internal/router/sendrate.go
+++ b/internal/router/sendrate.go
@@ -7,8 +7,9 @@
 	"cobaltpier/internal/routing"
 )
 
+// anyCapacity reports whether a call can be sent to some endpoint now.
 func (r *Router) anyCapacity(call *routing.Call) bool {
-	return slices.ContainsFunc(r.endpoints, func(e *routing.Endpoint) bool { return r.hasCapacity(call, e) })
+	return slices.ContainsFunc(r.endpoints, func(e *routing.Endpoint) bool { return r.isSelectable(call, e) })
 }
 
 // hasCapacity reports whether an endpoint has capacity for a call: the rules allow the attempt, the
