Time of a setup: what rarely heard endpoints told last fades as slowly as they are heard

Callers: with many gateways each hears an endpoint every few seconds; a second after slow answers it was taken for quick again, and calls were sent there too late to be answered. Cause: answerTime let the work that waited be done at full speed since the latest sample, though the other gateways keep the endpoint busy. Change: it fades by the mean interval of load updates, as the delay estimate does. Evidence: TestSlowAnswersOfRarelyHeardEndpointLast; with the former fading it fails ('sent a second after slow answers').

--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -186,7 +186,7 @@
 	}
 }
 
-// TestShed: a call that is not admitted is answered at once, with the Retry-After value of the policy, and is not passed
+// TestShed: a call that is not admitted is answered at once, with the Retry-After value of the policy, and not passed
 // to the policy.
 func TestShed(t *testing.T) {
 	g := newTestGateway(t)
--- a/internal/router/fairness_test.go
+++ b/internal/router/fairness_test.go
@@ -423,3 +423,25 @@
 			staleZeroAge)
 	}
 }
+
+// TestSlowAnswersOfRarelyHeardEndpointLast checks that an endpoint that is heard every few seconds only, because many
+// gateways share it, is not taken for quick a second after slow answers: the others have kept it busy.
+func TestSlowAnswersOfRarelyHeardEndpointLast(t *testing.T) {
+	h, endpoints := newTestHost(1)
+	endpoints[0].LoadReport.Capacity, endpoints[0].LoadReport.Free = 1000, 500
+	for range 10 {
+		for _, latency := range []float64{400, 20} {
+			h.advance(4000)
+			h.establish(h.offerCall(endpoints[0]), latency)
+		}
+	}
+	h.timeLeft = 200
+	h.advance(1000)
+	if call := h.offerCall(endpoints[0]); !call.Finished || call.Attempts > 0 {
+		t.Error("a call with 200 ms left was sent a second after slow answers")
+	}
+	h.advance(4000)
+	if call := h.offerCall(endpoints[0]); call.Finished {
+		t.Error("a call with 200 ms left was given up when nothing had been heard for a mean interval")
+	}
+}
--- a/internal/router/forecast.go
+++ b/internal/router/forecast.go
@@ -73,11 +73,13 @@
 
 // answerTime returns when an endpoint will have answered a setup that is sent to it at a time: by the
 // latencies of earlier setups, or by the queueing delay that was told by other means, less what it has done
-// since.
+// since. The rarer load updates are, the more of the endpoint's work is that of other gateways, and the
+// slower both fade.
 func (s *endpointState) answerTime(sentAt float64) float64 {
 	minLatency := s.minLatencyOrZero()
-	toldDelay := math.Max(0, s.delay-(sentAt-s.delayAt))
-	return sentAt + math.Max(s.setups.at(sentAt, minLatency), minLatency+toldDelay)
+	fading := 1000 / s.updateInterval
+	toldDelay := math.Max(0, s.delay-fading*(sentAt-s.delayAt))
+	return sentAt + math.Max(s.setups.at(sentAt, minLatency, fading), minLatency+toldDelay)
 }
 
 // setupTime returns the least time from sending a call of a class at a time until it is answered.
--- a/internal/router/setuptime.go
+++ b/internal/router/setuptime.go
@@ -34,11 +34,12 @@
 
 // at returns the time in which a setup that is sent at a time is answered with near certainty, in ms;
 // minLatency is the shortest that was seen. What lies above that is work that waited at the endpoint, which
-// has had the time since the latest sample to do it.
-func (e *setupEstimate) at(sentAt, minLatency float64) float64 {
+// it has done since the latest sample: fading is the ms of it a millisecond, less than 1 where others keep
+// the endpoint busy.
+func (e *setupEstimate) at(sentAt, minLatency, fading float64) float64 {
 	if e.samples == 0 {
 		return 0
 	}
-	excess := e.mean + setupDeviations*e.deviation - minLatency - (sentAt - e.updatedAt)
+	excess := e.mean + setupDeviations*e.deviation - minLatency - fading*(sentAt-e.updatedAt)
 	return minLatency + math.Max(0, excess)
 }
