Blocked setups: a setup does not leave after its call's final answer (rule 1)

Callers: the call had its final answer, and an endpoint set it up all the same. Cause, by a trace of the call's messages: the driver took the second setup 88 ms before the deadline and held it for 102 ms, as the endpoint did not read; the call was answered at its deadline, and then the setup left. Such a setup could not be withdrawn. Change: a leg that is given up while the driver holds its setup closes the connection, which takes no data, and is released on another. New metric blocked_setups.

--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -145,7 +145,7 @@
 			c.gateway.OnMessage(c, true, message.data)
 		}
 		if message.leg != nil {
-			message.leg.sent = true
+			message.leg.sent, message.leg.unflushed = true, true
 		}
 		if message.onSent != nil || message.onLost != nil {
 			c.written = append(c.written, outgoingMessage{onSent: message.onSent, onLost: message.onLost})
@@ -158,6 +158,9 @@
 
 func (c *Conn) onFlushed() {
 	c.writePending = false
+	for _, leg := range c.legs {
+		leg.unflushed = false
+	}
 	written := c.written
 	c.written = nil
 	for _, message := range written {
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -24,6 +24,7 @@
 	ProtocolErrors     uint64 `json:"protocol_errors"`     // messages that could not be decoded or used
 	IncompleteMessages uint64 `json:"incomplete_messages"` // connections closed because a message remained incomplete
 	Withdrawn          uint64 `json:"withdrawn"`           // setups withdrawn before they were sent
+	BlockedSetups      uint64 `json:"blocked_setups"`      // given up in a blocked write; their connections were closed
 	UnmatchedAnswers   uint64 `json:"unmatched_answers"`   // answers that match no setup of this gateway
 
 	UnmatchedReleases uint64 `json:"unmatched_releases"`  // releases by endpoints of calls that are unknown here
--- a/internal/protocol/binarygateway/outboundleg.go
+++ b/internal/protocol/binarygateway/outboundleg.go
@@ -18,6 +18,8 @@
 	conn     *Conn // nil while it waits for a connection
 	timeout  *timerqueue.Timer
 	sent     bool // its setup was handed to the driver
+	// unflushed is set while the driver has not yet sent all of the write that holds the setup.
+	unflushed bool
 	// releaseMark stands for the releases that were sent on the connection before the setup.
 	releaseMark uint64
 	ended       bool // its end has been reported, or is about to be
@@ -57,7 +59,8 @@
 }
 
 // cancel gives up a leg. If its setup was not sent, it ends as not sent, whatever the given outcome. Otherwise a
-// release is sent, and the leg ends with the given outcome once that has been sent.
+// release is sent, and the leg ends with the given outcome once that has been sent. A setup that the driver still holds
+// would leave after the call's final answer (rule 1): its connection, which takes no data, is closed.
 func (l *outboundLeg) cancel(outcome routing.Outcome) {
 	if l.ended {
 		return
@@ -70,6 +73,10 @@
 		g.Timers.Schedule(g.Now, func() { l.finish(routing.NotSent) })
 		return
 	}
+	if l.unflushed {
+		g.Metrics.BlockedSetups++
+		l.conn.abort()
+	}
 	l.releaseSetup(l.conn, outcome)
 }
 
--- a/internal/protocol/binarygateway/upstream_test.go
+++ b/internal/protocol/binarygateway/upstream_test.go
@@ -488,3 +488,23 @@
 		t.Errorf("the caller that canceled got %x, want nothing", caller.lastMessage(9))
 	}
 }
+
+// TestBlockedSetupNotSentAfterFinalAnswer: a setup that the driver holds, because the endpoint does not read, does not
+// leave after its call has its final answer: the connection is closed.
+func TestBlockedSetupNotSentAfterFinalAnswer(t *testing.T) {
+	g := newTestGateway(t)
+	g.policy.attemptOrder = []int{0}
+	conn := g.connsTo(addrA)[0]
+	conn.blocked = true
+	caller := g.acceptClient()
+	g.deliverSetup(caller, 7)
+	g.advance(100)
+	if conn.closed || conn.gatewayConn.legOf(7) == nil {
+		t.Fatal("want the setup with the driver, on an open connection")
+	}
+	g.deliver(caller, binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Normal))
+	if g.step(); !conn.closed || g.gateway.Metrics.BlockedSetups != 1 {
+		t.Errorf("closed %v, %d blocked setups; want the connection closed, and one counted", conn.closed,
+			g.gateway.Metrics.BlockedSetups)
+	}
+}
