Late answers: none is taken for an answer to a setup that the driver still holds

Seen: TestRulesUnderFaults with 12,000 checks: 'rule 1: answered without an answer of a switch', then 'setup after the final answer'. Callers got the answer of an attempt that had been canceled, whose call is released at the endpoint. Cause: onAnswer gave an answer to the leg on its connection if the setup had been handed to the driver, also while the driver held it and an earlier attempt of the call at that endpoint was still to be answered. Change: while the driver holds the setup and such an attempt exists, the answer is a late one.

--- a/internal/protocol/binarygateway/upstream_test.go
+++ b/internal/protocol/binarygateway/upstream_test.go
@@ -508,3 +508,26 @@
 			g.gateway.Metrics.BlockedSetups)
 	}
 }
+
+// TestLateAnswerWhileSetupIsBlocked: an answer that arrives while the driver holds the setup of a call's second attempt
+// at the endpoint belongs to the first one, and does not establish the call.
+func TestLateAnswerWhileSetupIsBlocked(t *testing.T) {
+	g := newTestGateway(t)
+	g.policy.attemptOrder = []int{0, 0}
+	caller := g.acceptClient()
+	g.deliverSetup(caller, 7)
+	conn := g.setupConn(7)
+	g.policy.host.CancelAttempt(g.policy.lastCall.InFlight)
+	g.advance(50)
+	conn.blocked = true
+	g.advance(600) // beyond the hold-off
+	g.gateway.Router.OnWakeup(g.now, g.policy.lastCall)
+	g.step()
+	if leg := conn.gatewayConn.legOf(7); leg == nil || !leg.unflushed {
+		t.Fatal("want the second setup with the driver")
+	}
+	g.deliver(conn, binarymessage.Answer, 7, answerDescription)
+	if caller.countMessages(7, binarymessage.Answer) != 0 {
+		t.Error("the late answer to the first attempt established the call")
+	}
+}
--- a/internal/protocol/binarygateway/upstreammessages.go
+++ b/internal/protocol/binarygateway/upstreammessages.go
@@ -49,7 +49,8 @@
 		return
 	}
 	leg := conn.legOf(id)
-	if leg == nil || leg.ended || !leg.sent {
+	_, attemptedBefore := u.canceled[id] // while the driver holds the setup, the answer is one to that attempt
+	if leg == nil || leg.ended || !leg.sent || leg.unflushed && attemptedBefore {
 		u.onLateAnswer(conn, id, leg)
 		return
 	}
