Number table test: a connection of its own to the restarted gateway

Cause, by the error's text (not forced): the test restarts the gateway and goes on with the client connection to the process before. An RPC that is written to it before the client has read its end fails with EOF; WaitForReady waits for a connection, and does not repeat it. Change: the test opens a new connection after the restart, as the number command does for each call. The checks are as they were.

--- a/internal/gateway/sipserver/numbers_test.go
+++ b/internal/gateway/sipserver/numbers_test.go
@@ -53,6 +53,17 @@
 }
 `
 
+// newNumbersClient returns a client of a gateway's number table service, on a connection of its own.
+func newNumbersClient(t *testing.T, address string) api.NumbersClient {
+	t.Helper()
+	conn, err := grpc.NewClient(address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return api.NewNumbersClient(conn)
+}
+
 // TestNumbers runs a gateway with number tables on real sockets: portability by DNS, over TCP where the datagram is
 // truncated; a table is put in service, another is refused, the gateway restarts with the running table and goes back
 // to the one before.
@@ -190,12 +201,7 @@
 	if m := lookUp("udp", 33123); m.Rcode != dns.RcodeNameError {
 		t.Errorf("number without a rule: want NXDOMAIN, got %v", m)
 	}
-	conn, err := grpc.NewClient(admin, grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	client, ctx := api.NewNumbersClient(conn), context.Background()
+	client, ctx := newNumbersClient(t, admin), context.Background()
 	if _, err := client.Put(ctx, &api.PutTable{Table: packed(tableFile(2, "TG-9"))}); err == nil ||
 		!strings.Contains(err.Error(), `trunk group "TG-9"`) {
 		t.Errorf("table with an unknown trunk group: want an error that names it, got %v", err)
@@ -216,6 +222,7 @@
 	}
 	run() // runs the table that the store names as running, not the one of the configuration
 	call("sip:+72418555")
+	client = newNumbersClient(t, admin) // a call on a connection to the process before would fail with it
 	if state, err = client.Back(ctx, &api.BackRequest{}, grpc.WaitForReady(true)); err != nil ||
 		state.Running.Version != 1 {
 		t.Fatalf("want version 1 running, got %v, %v", state, err)
