Repeated callers: the test checks the late repeat and the end of the timeout again

Seen on rereading: TestRepeatedCallerCountedOnce named a check that it did not make (after its timeout a caller counts anew), and its repeat came at once, where the test it replaced let 2.5 s pass. Change: tests only. The repeat comes after 2.5 s; counts are compared exactly in place of rounded; the timeout is checked. Evidence: mutants fail: repeats counted, served callers not forgotten, timeout ignored.

--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -180,12 +180,19 @@
 func TestRepeatedCallerCountedOnce(t *testing.T) {
 	h, endpoints := newTestHost(1)
 	h.number = "1"
-	count := func() float64 { return math.Round(h.router.offered.callers.Read(h.now)) }
 	endpoints[0].State = routing.Draining
 	first := h.offerCall(endpoints[0])
+	h.advance(2500) // beyond the latency that any deployment aims at, within the caller's timeout
+	before := h.router.offered.callers.Read(h.now)
 	repeated := h.offerCall(endpoints[0])
-	if !first.Finished || !repeated.Finished || count() != 1 {
-		t.Fatalf("%v callers counted after a call and its repeat, want 1", count())
+	if after := h.router.offered.callers.Read(h.now); !first.Finished || !repeated.Finished || after != before {
+		t.Fatalf("%v callers counted with the repeat, want %v as without", after, before)
+	}
+	h.advance(h.class.Timeout)
+	before = h.router.offered.callers.Read(h.now)
+	h.offerCall(endpoints[0])
+	if after := h.router.offered.callers.Read(h.now); after != before+1 {
+		t.Fatalf("%v callers counted, want %v: after its timeout a caller is a new one", after, before+1)
 	}
 	endpoints[0].State = routing.Ready
 	stateOf(endpoints[0]).tokens = 0
@@ -199,8 +206,10 @@
 	}
 	h.advance(1000)
 	h.establish(repeated, 20)
-	if h.offerCall(endpoints[0]); count() != 3 {
-		t.Errorf("%v callers counted, want 3: the next call of a caller that was served is not a repeat", count())
+	before = h.router.offered.callers.Read(h.now)
+	h.offerCall(endpoints[0])
+	if after := h.router.offered.callers.Read(h.now); after != before+1 {
+		t.Errorf("%v callers counted, want %v: the next call of a caller that was served is no repeat", after, before+1)
 	}
 }
 
