--- a/review/standin2/gateway.go
+++ b/review/standin2/gateway.go
@@ -60,8 +60,15 @@
 	signaled bool // the process was told to end
 }
 
+// caseIP is a loopback address that scripts which run at the same time do not share: the port of a process that ends and
+// starts again must not be taken by another script meanwhile.
+func caseIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>16)%250, (pid>>8)&255, 1+pid&127)
+}
+
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", caseIP()+":0")
 	if err != nil {
 		return "", err
 	}
@@ -128,6 +135,9 @@
 		close(exited)
 	}()
 	for range 200 {
+		if g.endedByItself() {
+			return fmt.Errorf("gateway %s ended by itself", g.name())
+		}
 		if g.passesTest() {
 			g.rec.printf("gateway %s passes a test", g.name())
 			return nil
--- a/review/standin2/switch.go
+++ b/review/standin2/switch.go
@@ -49,7 +49,7 @@
 func newSwitch(rec *record, id string, group int) (*coreSwitch, error) {
 	s := &coreSwitch{rec: rec, id: id, group: group, answerAfter: 30 * time.Millisecond,
 		standing: map[uint64]*switchConn{}, released: map[uint64]time.Time{}, ended: map[uint64]time.Time{}}
-	s.addr = "127.0.0.1:0"
+	s.addr = caseIP() + ":0"
 	return s, s.start()
 }
 
