--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -29,6 +29,7 @@
 	conn   net.Conn
 	mu     sync.Mutex
 	closed chan struct{}
+	endAt  time.Time // set before closed is closed
 }
 
 func newClient(rec *record, name, ip, gateway string) *client {
@@ -55,6 +56,7 @@
 		if err != nil {
 			c.rec.printf("%s: the connection from %s ended", c.name, cc.conn.LocalAddr())
 			cc.conn.Close()
+			cc.endAt = time.Now()
 			return
 		}
 		c.mu.Lock()
@@ -99,6 +101,32 @@
 	return received{}, false
 }
 
+// final returns when the first answer or release of a call came.
+func (c *client) final(call uint64) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.got[call] {
+		if r.kind == typeAnswer || r.kind == typeRelease {
+			return r.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+func (cc *clientConn) isClosed() bool {
+	select {
+	case <-cc.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// closedWithin reports whether the connection ended at most so long after a time.
+func (cc *clientConn) closedWithin(at time.Time, limit time.Duration) bool {
+	return cc.isClosed() && cc.endAt.Sub(at) <= limit
+}
+
 // wait waits for a message of a type for a call.
 func (c *client) wait(call uint64, kind byte, limit time.Duration) (received, bool) {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -25,6 +25,7 @@
 	// memoryMB is the gateway's limit of memory.
 	memoryMB int
 	stops    []func()
+	started  []*gateway
 }
 
 func (p *play) atEnd(stop func()) { p.stops = append(p.stops, stop) }
@@ -45,6 +46,11 @@
 	case <-time.After(timeLimit):
 		err = errors.New("the time limit is over")
 	}
+	for _, g := range p.started {
+		if g.endedByItself() {
+			err = fmt.Errorf("gateway %s ended by itself", g.name())
+		}
+	}
 	for i := len(p.stops) - 1; i >= 0; i-- {
 		p.stops[i]()
 	}
