Resumed calls: kept while their client has no connection, and released when it returns

Cause: client.forgetResumed dropped the resumed calls of a client without a connection for 20 s, so that made-up calls would not be kept for good. The endpoint's release then met no call. A client does not name a call twice to one process: a standing call is bound to no connection (PROTOCOL).

Checked: without the restart, or with a rest under 20 s, the release waits for the client and is sent; the call is in g.calls until forgetResumed removes it, in a test in virtual time.

Change: resumed calls stay until they end or their place is needed. Where all 8,192 places are taken, a client takes one of a client with more, else of one without a connection for 20 s, unless it holds over half of all.

--- a/internal/protocol/binarygateway/gateway.go
+++ b/internal/protocol/binarygateway/gateway.go
@@ -205,7 +205,6 @@
 	}
 	for address, client := range g.clients {
 		client.outbox.Expire(g.Now)
-		client.forgetResumed()
 		if len(client.conns) == 0 && client.outbox.Len() == 0 && client.establishedCalls == 0 {
 			delete(g.clients, address)
 		}
--- a/internal/protocol/binarygateway/resumedcalls.go
+++ b/internal/protocol/binarygateway/resumedcalls.go
@@ -49,45 +49,50 @@
 	call.bindTo(conn)
 }
 
-// makeRoomForResumed releases the oldest resumed call of the client that has the most of them: calls that no endpoint
-// knows may have been named there. It returns false if no client has more than the given one. The call is not released
-// at the endpoint, because its ID may be made up.
+// makeRoomForResumed releases one resumed call of another client, because calls that no endpoint knows may have been
+// named there. It returns false if the given client may not take a place of another one. The call is not released at
+// the endpoint, because its ID may be made up.
 func (g *Gateway) makeRoomForResumed(c *client) bool {
-	most := c
-	for _, other := range g.clients {
-		if other.resumedCalls > most.resumedCalls {
-			most = other
-		}
+	loser := g.resumedCallsLoser(c)
+	if loser == nil {
+		return false
 	}
 	var oldest *call
 	for _, call := range g.calls {
-		if call.client == most && call.isResumed() && (oldest == nil || call.resumedBefore(oldest)) {
+		if call.client == loser && call.isResumed() && (oldest == nil || call.resumedBefore(oldest)) {
 			oldest = call
 		}
 	}
-	if most == c || oldest == nil {
-		return false
-	}
 	g.Metrics.ResumesRefused++
 	oldest.release(routing.Reset, binarymessage.Failure, false)
 	return true
 }
 
-// forgetResumed forgets the resumed calls of a client that has had no connection for long, and that can resume them
-// again: calls that it has made up would be kept for good.
-func (c *client) forgetResumed() {
-	g := c.gateway
-	if len(c.conns) > 0 || c.resumedCalls == 0 || g.Now < c.disconnectedAt+clientReleaseRetention {
-		return
-	}
-	for _, call := range g.calls {
-		if call.client == c && call.isResumed() {
-			delete(g.calls, call.id)
-			delete(call.upstream.established, call.id)
-			call.upstream = nil
-			c.establishedCalls--
-			c.resumedCalls--
-			g.resumedCalls--
+// resumedCallsLoser returns the client that loses a resumed call to the given one: the client with the most, if it has
+// more, else the absent client with the most. It returns nil if there is none. A client with most of all resumed calls
+// takes none of an absent one, whose calls may be real.
+func (g *Gateway) resumedCallsLoser(c *client) *client {
+	most := c
+	var absent *client
+	for _, other := range g.clients {
+		if other.resumedCalls > most.resumedCalls {
+			most = other
 		}
+		if other.isAbsent() && other.resumedCalls > 0 && (absent == nil || other.resumedCalls > absent.resumedCalls) {
+			absent = other
+		}
+	}
+	if most != c {
+		return most
+	}
+	if c.resumedCalls > maxResumedCalls/2 {
+		return nil
 	}
+	return absent
+}
+
+// isAbsent reports whether the client has had no connection for so long that it may not return. Its calls are kept all
+// the same: it has named them to this process, and does not name them again when it returns.
+func (c *client) isAbsent() bool {
+	return len(c.conns) == 0 && c.gateway.Now > c.disconnectedAt+clientReleaseRetention
 }
