Resumed calls: a place is found without a walk through all calls and clients

Cause: from maxResumedCalls on, each further naming walked through g.calls and g.clients in makeRoomForResumed, in the one event loop.

Change: resumedCalls holds each client's calls in order (container/list) and the clients by their number of calls (container/heap), those without a connection for 20 s apart. Which call makes room is decided as before.

--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -1,6 +1,7 @@
 package binarygateway
 
 import (
+	"container/list"
 	"math"
 	"strconv"
 
@@ -26,7 +27,7 @@
 	// endpointUpSince is a time at which the endpoint's process was running already: when the connection was opened on
 	// which the call was set up, or when a call of an earlier process of this gateway was resumed.
 	endpointUpSince float64
-	resumedAt       float64 // of a resumed call
+	resumedElement  *list.Element // of a resumed call: its place among those of its client
 }
 
 // HasAttempt implements callcontrol.SignalingLeg.
@@ -176,8 +177,8 @@
 		c.client.establishedCalls--
 		conn.client.establishedCalls++
 		if c.isResumed() {
-			c.client.resumedCalls--
-			conn.client.resumedCalls++
+			c.gateway.resumed.remove(c.client, c)
+			c.gateway.resumed.add(conn.client, c)
 		}
 		c.client = conn.client
 	}
@@ -206,9 +207,8 @@
 		u.rememberEnd(c.id, cause) // in case the release is lost with the client's connection
 		c.client.sendRelease(c.conn, c.id, cause)
 	}
-	if c.Session == nil {
-		g.resumedCalls--
-		c.client.resumedCalls--
+	if c.isResumed() {
+		g.resumed.remove(c.client, c)
 		return
 	}
 	g.AddEstablished(-1)
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -15,7 +15,7 @@
 	conns            []*Conn
 	outbox           *delivery.Outbox[*Conn] // releases of its calls
 	establishedCalls int
-	resumedCalls     int // established calls that were set up by an earlier process
+	resumed          resumedByClient
 	disconnectedAt   float64
 }
 
--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -269,6 +269,7 @@
 		lastWriteAt: now,
 	}
 	owner.conns = append(owner.conns, conn)
+	g.resumed.setAbsent(owner, false)
 	g.clientConns = append(g.clientConns, conn)
 	if len(g.clientConns) > connlimit.MaxClientConns(g.config.MaxDescriptors) {
 		g.evictOne(conn)
--- a/internal/protocol/binarygateway/gateway.go
+++ b/internal/protocol/binarygateway/gateway.go
@@ -69,7 +69,7 @@
 	clientConns   []*Conn
 	pendingChecks []healthCheck // answered once the gateway is ready
 	dirtyConns    []*Conn       // to be flushed at the end of the batch
-	resumedCalls  int           // established calls that were set up by an earlier process
+	resumed       resumedCalls
 	startedAt     float64
 	ready         bool
 	draining      bool
@@ -205,6 +205,7 @@
 	}
 	for address, client := range g.clients {
 		client.outbox.Expire(g.Now)
+		g.resumed.setAbsent(client, client.isAbsent())
 		if len(client.conns) == 0 && client.outbox.Len() == 0 && client.establishedCalls == 0 {
 			delete(g.clients, address)
 		}
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -91,7 +91,7 @@
 // EstablishedCalls returns the number of established calls, including resumed ones.
 func (g *Gateway) EstablishedCalls() int {
 	_, established := g.InProgress()
-	return established + g.resumedCalls
+	return established + g.resumed.count
 }
 
 // ClientConns returns how many client connections are open, and how many of them have unsent data.
--- a/internal/protocol/binarygateway/resumedcalls.go
+++ b/internal/protocol/binarygateway/resumedcalls.go
@@ -1,6 +1,9 @@
 package binarygateway
 
 import (
+	"container/heap"
+	"container/list"
+
 	"cobaltpier/internal/protocol/binarymessage"
 	"cobaltpier/internal/routing"
 )
@@ -8,14 +11,110 @@
 // maxResumedCalls bounds the state that clients can create by resuming calls.
 const maxResumedCalls = 8192
 
-// isResumed reports whether the call is established and was set up by an earlier process of the gateway.
-func (c *call) isResumed() bool { return c.Session == nil && c.upstream != nil }
+// resumedCalls are the established calls that were set up by an earlier process of the gateway. Clients may name calls
+// that don't exist, at full speed, so each operation takes a time that hardly depends on how many calls are held.
+type resumedCalls struct {
+	count   int
+	present clientHeap // clients with resumed calls that have a connection, or had one lately
+	absent  clientHeap // the others
+}
+
+// resumedByClient are the resumed calls of one client.
+type resumedByClient struct {
+	calls     list.List // of *call, in the order in which the client named them
+	absent    bool      // the client is in the heap of the absent ones
+	heapIndex int       // there; without a meaning if the client has no resumed calls
+}
+
+// clientHeap implements heap.Interface: the client with the most resumed calls comes first.
+type clientHeap []*client
+
+func (h clientHeap) Len() int           { return len(h) }
+func (h clientHeap) Less(i, j int) bool { return h[i].resumed.calls.Len() > h[j].resumed.calls.Len() }
+func (h clientHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].resumed.heapIndex, h[j].resumed.heapIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *clientHeap) Push(c any) {
+	added := c.(*client)
+	added.resumed.heapIndex = len(*h)
+	*h = append(*h, added)
+}
+
+// Pop implements heap.Interface.
+func (h *clientHeap) Pop() any {
+	last := len(*h) - 1
+	removed := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return removed
+}
+
+// heapOf returns the heap in which a client with resumed calls is.
+func (r *resumedCalls) heapOf(c *client) *clientHeap {
+	if c.resumed.absent {
+		return &r.absent
+	}
+	return &r.present
+}
 
-// resumedBefore orders resumed calls by their times, and by ID where these are equal.
-func (c *call) resumedBefore(other *call) bool {
-	return c.resumedAt < other.resumedAt || c.resumedAt == other.resumedAt && c.id < other.id
+// add adds a call to those of a client.
+func (r *resumedCalls) add(c *client, call *call) {
+	r.count++
+	call.resumedElement = c.resumed.calls.PushBack(call)
+	if c.resumed.calls.Len() == 1 {
+		heap.Push(r.heapOf(c), c)
+	} else {
+		heap.Fix(r.heapOf(c), c.resumed.heapIndex)
+	}
 }
 
+// remove removes a call from those of its client.
+func (r *resumedCalls) remove(c *client, call *call) {
+	r.count--
+	c.resumed.calls.Remove(call.resumedElement)
+	call.resumedElement = nil
+	if c.resumed.calls.Len() == 0 {
+		heap.Remove(r.heapOf(c), c.resumed.heapIndex)
+	} else {
+		heap.Fix(r.heapOf(c), c.resumed.heapIndex)
+	}
+}
+
+// setAbsent records whether a client has been without a connection for long.
+func (r *resumedCalls) setAbsent(c *client, absent bool) {
+	if c.resumed.absent == absent {
+		return
+	}
+	if c.resumed.calls.Len() > 0 {
+		heap.Remove(r.heapOf(c), c.resumed.heapIndex)
+	}
+	c.resumed.absent = absent
+	if c.resumed.calls.Len() > 0 {
+		heap.Push(r.heapOf(c), c)
+	}
+}
+
+// loser returns the client that loses a call to another client that names one: the client with the most, if it has
+// more than that one, else the absent client with the most. It returns nil if there is none. A client with most of all
+// resumed calls takes none of an absent one, whose calls may be real.
+func (r *resumedCalls) loser(to *client) *client {
+	for _, clients := range []clientHeap{r.present, r.absent} {
+		if len(clients) > 0 && clients[0].resumed.calls.Len() > to.resumed.calls.Len() {
+			return clients[0]
+		}
+	}
+	if len(r.absent) == 0 || to.resumed.calls.Len() > maxResumedCalls/2 {
+		return nil
+	}
+	return r.absent[0]
+}
+
+// isResumed reports whether the call is established and was set up by an earlier process of the gateway.
+func (c *call) isResumed() bool { return c.resumedElement != nil }
+
 // resumeCall takes over a call that an earlier process established and that is still in progress at an endpoint.
 func (c *client) resumeCall(conn *Conn, id uint64, endpointID string) {
 	g := c.gateway
@@ -34,63 +133,34 @@
 		c.sendRelease(conn, id, cause)
 		return
 	}
-	if g.resumedCalls >= maxResumedCalls && !g.makeRoomForResumed(c) {
+	if g.resumed.count >= maxResumedCalls && !g.makeRoomForResumed(c) {
 		g.Metrics.ResumesRefused++
 		conn.send(releaseMessage(id, binarymessage.Failure))
 		return
 	}
 	g.Metrics.CallsResumed++
-	g.resumedCalls++
-	call := &call{gateway: g, id: id, client: c, upstream: u, endpointUpSince: g.Now, resumedAt: g.Now}
+	call := &call{gateway: g, id: id, client: c, upstream: u, endpointUpSince: g.Now}
 	g.calls[id] = call
 	u.established[id] = call
 	c.establishedCalls++
-	c.resumedCalls++
+	g.resumed.add(c, call)
 	call.bindTo(conn)
 }
 
-// makeRoomForResumed releases one resumed call of another client, because calls that no endpoint knows may have been
-// named there. It returns false if the given client may not take a place of another one. The call is not released at
-// the endpoint, because its ID may be made up.
+// makeRoomForResumed releases the oldest resumed call of another client, because calls that no endpoint knows may have
+// been named there. It returns false if the given client may not take a place of another one. The call is not released
+// at the endpoint, because its ID may be made up.
 func (g *Gateway) makeRoomForResumed(c *client) bool {
-	loser := g.resumedCallsLoser(c)
+	loser := g.resumed.loser(c)
 	if loser == nil {
 		return false
 	}
-	var oldest *call
-	for _, call := range g.calls {
-		if call.client == loser && call.isResumed() && (oldest == nil || call.resumedBefore(oldest)) {
-			oldest = call
-		}
-	}
+	oldest := loser.resumed.calls.Front().Value.(*call)
 	g.Metrics.ResumesRefused++
 	oldest.release(routing.Reset, binarymessage.Failure, false)
 	return true
 }
 
-// resumedCallsLoser returns the client that loses a resumed call to the given one: the client with the most, if it has
-// more, else the absent client with the most. It returns nil if there is none. A client with most of all resumed calls
-// takes none of an absent one, whose calls may be real.
-func (g *Gateway) resumedCallsLoser(c *client) *client {
-	most := c
-	var absent *client
-	for _, other := range g.clients {
-		if other.resumedCalls > most.resumedCalls {
-			most = other
-		}
-		if other.isAbsent() && other.resumedCalls > 0 && (absent == nil || other.resumedCalls > absent.resumedCalls) {
-			absent = other
-		}
-	}
-	if most != c {
-		return most
-	}
-	if c.resumedCalls > maxResumedCalls/2 {
-		return nil
-	}
-	return absent
-}
-
 // isAbsent reports whether the client has had no connection for so long that it may not return. Its calls are kept all
 // the same: it has named them to this process, and does not name them again when it returns.
 func (c *client) isAbsent() bool {
--- a/internal/protocol/binarygateway/resumedcalls_test.go
+++ b/internal/protocol/binarygateway/resumedcalls_test.go
@@ -103,11 +103,11 @@
 	}
 	g.advance(clientReleaseRetention + 1000)
 	g.resumeMany(caller, 1000, maxResumedCalls)
-	held := g.gateway.clients[clientAddr].resumedCalls
+	held := g.gateway.clients[clientAddr].resumed.calls.Len()
 	if held < maxResumedCalls/2 || held > maxResumedCalls/2+1 {
 		t.Errorf("one client holds %d of %d resumed calls, want half of them", held, maxResumedCalls)
 	}
-	if held = g.gateway.clients[address].resumedCalls; held == 0 {
+	if held = g.gateway.clients[address].resumed.calls.Len(); held == 0 {
 		t.Error("an absent client has lost all of its calls, want some kept")
 	}
 }
