Discovery: responses are accepted for 30 s, so that a slow name server does not freeze the list

Cause: a response was accepted only for the latest 16 queries, one each 200 ms. One that takes over 3.2 s never matched, and the list stood still.

Change: responses are accepted for responseTimeout, 30 s. Serial and source address are checked as before.

--- a/internal/protocol/dnsdiscovery/client.go
+++ b/internal/protocol/dnsdiscovery/client.go
@@ -22,9 +22,12 @@
 const queryName = "_data._tcp.farm.lan."
 
 const (
-	queryInterval    = 200.0 // ms; a gateway has to know a change 1.5 s after it happened, so some queries may be lost
-	maxRecentQueries = 16    // latest queries whose responses are accepted
-	maxResponseSize  = 8192  // bytes
+	queryInterval = 200.0 // ms; a gateway has to know a change 1.5 s after it happened, so some queries may be lost
+	// responseTimeout is the time after a query, in ms, for which a response is accepted. It bounds how slow the name
+	// server may be: with a slower one the list would not change any more.
+	responseTimeout  = 30000.0
+	maxRecentQueries = int(responseTimeout / queryInterval) // latest queries whose responses are accepted
+	maxResponseSize  = 8192                                 // bytes
 )
 
 // Entry is an entry of an endpoint list.
--- a/internal/protocol/dnsdiscovery/client_test.go
+++ b/internal/protocol/dnsdiscovery/client_test.go
@@ -125,6 +125,23 @@
 	}
 }
 
+// TestSlowServer guards against a list that no longer changes because the name server takes seconds to answer, each
+// query as long: no query is answered before many others have been sent.
+func TestSlowServer(t *testing.T) {
+	for _, delay := range []float64{3500, 4000, 5000, 12000} {
+		c := New(server, 4, 1)
+		query := c.MakeQuery(0)
+		for now := queryInterval; now < delay; now += queryInterval {
+			if c.MakeQuery(now) == nil {
+				t.Fatal("no query is due")
+			}
+		}
+		if list, err := c.HandleResponse(server, packResponse(t, query, 5, nil)); list == nil {
+			t.Errorf("response after %v ms: error %v, want the list", delay, err)
+		}
+	}
+}
+
 // TestSetServer checks that a new name server is queried at once, that responses of the previous one are ignored, and
 // that a list older than the latest one is still ignored.
 func TestSetServer(t *testing.T) {
