Endpoint list: calls of a new endpoint at a gone one's address pass to it, and are not cut

Cause: nothing on a connection tells which endpoint answers, so calls were set up at the new process as at the old one. upstream.closeAll then ended all calls of the gone endpoint and dropped what it was owed, whatever process they belonged to.

Change: calls whose connection is not older than the successor's start, as the list tells it, pass to the successor with the owed releases. Others end as before. New metric: calls_handed_over.

--- a/internal/protocol/binarygateway/endpointlist.go
+++ b/internal/protocol/binarygateway/endpointlist.go
@@ -1,6 +1,8 @@
 package binarygateway
 
 import (
+	"maps"
+
 	"cobaltpier/internal/protocol/dnsdiscovery"
 	"cobaltpier/internal/protocol/endpointset"
 	"cobaltpier/internal/routing"
@@ -69,9 +71,47 @@
 	}
 	switch {
 	case endpoint.State == routing.Gone:
+		if successor := g.successorOf(u); successor != nil {
+			u.handOver(successor)
+		}
 		u.closeAll()
 		delete(g.upstreams, endpoint)
 	case endpoint.StartedAt > u.startedAt:
 		u.onRestart(endpoint.StartedAt)
 	}
 }
+
+// successorOf returns the upstream of the endpoint that has taken over the address of a gone one, or nil if there is
+// none or its start is not known.
+func (g *Gateway) successorOf(gone *upstream) *upstream {
+	for _, u := range g.sortedUpstreams() {
+		if u != gone && u.address == gone.address && u.endpoint.State != routing.Gone && u.endpoint.StartedAt > 0 {
+			return u
+		}
+	}
+	return nil
+}
+
+// handOver passes to a successor at the same address what belongs to it. Until the list told of it, connections to its
+// process counted as connections to the gone endpoint: the calls that were set up on them go on there, and it is owed
+// the releases.
+func (u *upstream) handOver(successor *upstream) {
+	startedAt := successor.endpoint.StartedAt - restartClockTolerance
+	for id, call := range u.established {
+		if call.endpointUpSince >= startedAt {
+			delete(u.established, id)
+			successor.established[id] = call
+			call.upstream, call.upstreamConn = successor, nil
+			u.gateway.Metrics.CallsHandedOver++
+		}
+	}
+	maps.Copy(successor.canceled, u.canceled)
+	for _, conn := range u.conns {
+		for _, release := range u.outbox.ConnEnded(conn, u.gateway.Now) {
+			successor.deliverAgain(release)
+		}
+	}
+	for _, release := range u.outbox.TakeWaiting() {
+		successor.deliverAgain(release)
+	}
+}
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -32,9 +32,10 @@
 
 	// established calls
 	CallsCut         uint64 `json:"calls_cut"`
-	CallsResumed     uint64 `json:"calls_resumed"`   // taken over from an earlier process
-	ResumesRefused   uint64 `json:"resumes_refused"` // released at once: too many are taken over
-	LateAnswers      uint64 `json:"late_answers"`    // answers that crossed a cancel
+	CallsResumed     uint64 `json:"calls_resumed"`     // taken over from an earlier process
+	ResumesRefused   uint64 `json:"resumes_refused"`   // released at once: too many are taken over
+	CallsHandedOver  uint64 `json:"calls_handed_over"` // from a gone endpoint to the one that took over its address
+	LateAnswers      uint64 `json:"late_answers"`      // answers that crossed a cancel
 	EndpointsDead    uint64 `json:"endpoints_dead"`
 	ReleasesByCaller uint64 `json:"releases_by_caller"`
 
