Setups: an ID that was given up at an endpoint is not attempted again for 30 s

Cause: a call is forgotten with its caller, with its hold-off and that it may have been executed. A setup was compared with the IDs of held calls only, while upstream.canceled knows for 30 s the IDs whose late answer may come.

Change: such a setup is answered with "failed" and is not attempted. Not with a refusal, which promises that trying again is harmless.

TestIDOfCanceledCall (close or release, again after 0 to 10 s) failed before the change in all eight cases. The same trials after it: one setup each. Tests of binarygateway and binaryserver pass.

--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -82,6 +82,11 @@
 		c.refuseInvalid(conn, id)
 		return
 	}
+	if g.wasCanceled(id) {
+		g.Metrics.Duplicates++
+		conn.send(releaseMessage(id, binarymessage.Failure))
+		return
+	}
 	routed := &routing.Call{
 		Class:         class,
 		CalledNumber:  request.calledNumber,
@@ -105,6 +110,18 @@
 	g.Enqueue(call.Session)
 }
 
+// wasCanceled reports whether an earlier call with the same ID was given up lately while an endpoint had its setup, or
+// was established there. It may have been executed, so the ID must not be attempted again, and a late answer to it could
+// not be told from one to a new setup.
+func (g *Gateway) wasCanceled(id uint64) bool {
+	for _, u := range g.upstreams {
+		if _, canceled := u.canceled[id]; canceled {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *client) refuseInvalid(conn *Conn, id uint64) {
 	c.gateway.Metrics.InvalidRequests++
 	conn.send(releaseMessage(id, binarymessage.Invalid))
--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -175,6 +175,37 @@
 	g.expectMessage(conn.lastMessage(8), binarymessage.Release, binarymessage.Normal)
 }
 
+// TestIDOfCanceledCall guards against a call that is executed twice: its caller leaves while an endpoint has the setup,
+// and the same ID comes again on another connection, in the hold-off or later.
+func TestIDOfCanceledCall(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		for _, gap := range []float64{0, 50, 600, 10000} {
+			g := newTestGateway(t)
+			g.policy.attemptOrder = []int{0, 1}
+			caller := g.acceptClient()
+			g.deliverSetup(caller, 7)
+			if closes {
+				g.gateway.OnClosed(g.now, caller.gatewayConn, ClosedNormally)
+			} else {
+				g.deliver(caller, binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Normal))
+			}
+			g.step()
+			g.advance(gap)
+			again := g.acceptClient()
+			g.deliverSetup(again, 7)
+			g.advance(1000)
+			setups := 0
+			for _, conn := range g.dialed {
+				setups += conn.countMessages(7, binarymessage.Setup)
+			}
+			if setups != 1 {
+				t.Errorf("closes %v, again after %v ms: %d setups of the call were sent, want 1", closes, gap, setups)
+			}
+			g.expectMessage(again.lastMessage(7), binarymessage.Release, binarymessage.Failure)
+		}
+	}
+}
+
 // TestRejected: a rejected call is answered at once, with a Retry-After value.
 func TestRejected(t *testing.T) {
 	g := newTestGateway(t)
