Owed releases: giving one up above the limit no longer costs a walk through all of them

Cause: each name of a call that has ended owes the client a release for a second. Above 65,536 of them each further one scanned all clients (limitClientReleases) and copied the list of a connection (Outbox.GiveUpOldest).

Change: GiveUpOldest cuts the first element off; the client with the most is searched for once in 512 overflows. What goes first is as before (TestManyPendingReleases).

--- a/internal/gateway/binaryserver/badclients_test.go
+++ b/internal/gateway/binaryserver/badclients_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -82,6 +83,7 @@
 // badClients runs misbehaving clients, each from an address of its own, until the test ends.
 type badClients struct {
 	server     *testServer
+	mu         sync.Mutex
 	conns      []net.Conn
 	goroutines sync.WaitGroup
 }
@@ -93,25 +95,59 @@
 }
 
 func (b *badClients) stop() {
+	b.mu.Lock()
 	for _, conn := range b.conns {
 		conn.Close()
 	}
+	b.mu.Unlock()
 	b.goroutines.Wait()
 }
 
-// start connects a client and runs send with its connection, while all that the gateway sends is read and ignored.
-func (b *badClients) start(index int, send func(conn net.Conn)) {
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(1+index))}}
+// dial connects the client with an index, and ignores all that the gateway sends. It returns nil if that fails.
+func (b *badClients) dial(index int) net.Conn {
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(1+index))}, Timeout: time.Second}
 	conn, err := dialer.Dial("tcp", b.server.addr)
 	if err != nil {
-		b.server.Errorf("bad client %d: %v", index, err)
-		return
+		return nil
 	}
+	b.mu.Lock()
 	b.conns = append(b.conns, conn)
+	b.mu.Unlock()
 	b.goroutines.Go(func() { _, _ = io.Copy(io.Discard, conn) })
+	return conn
+}
+
+// start connects a client and runs send with its connection.
+func (b *badClients) start(index int, send func(conn net.Conn)) {
+	conn := b.dial(index)
+	if conn == nil {
+		b.server.Errorf("bad client %d can't connect", index)
+		return
+	}
 	b.goroutines.Go(func() { send(conn) })
 }
 
+// flood has a client send what next returns at full speed for some time. It connects again when its connection ends, or
+// takes nothing for some time.
+func (b *badClients) flood(index int, duration time.Duration, next func() []byte) {
+	const writeTimeout = 500 * time.Millisecond
+	end := time.Now().Add(duration)
+	b.goroutines.Go(func() {
+		for time.Now().Before(end) {
+			conn := b.dial(index)
+			for conn != nil && time.Now().Before(end) {
+				_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+				if _, err := conn.Write(next()); err != nil {
+					break
+				}
+			}
+			if conn != nil {
+				conn.Close()
+			}
+		}
+	})
+}
+
 // namedCall returns a setup that names a call as established at an endpoint.
 func namedCall(id uint64, endpoint *testEndpoint) []byte {
 	return binarymessage.Append(nil, binarymessage.Setup, id,
@@ -139,3 +175,24 @@
 	usual.callFor(2 * time.Second)
 	usual.expectNoneLost()
 }
+
+// TestRepeatedNamesDelayNobody guards against setups of usual clients that are answered seconds late, because more
+// releases are owed to bad clients than the gateway holds, and each further one costs a walk through all of them.
+func TestRepeatedNamesDelayNobody(t *testing.T) {
+	const clients, calls, duration = 3, 30000, 9 * time.Second
+	endpoints := []*testEndpoint{newTestEndpoint(t, "s-0"), newTestEndpoint(t, "s-1")}
+	server := newTestServer(t, newTestNameServer(t, 1, endpoints...), endpoints...)
+	usual := newUsualClient(server)
+	bad := newBadClients(server)
+	for i := range clients {
+		random := rand.New(rand.NewPCG(1, uint64(i)))
+		bad.flood(i, duration, func() (burst []byte) {
+			for range 200 {
+				burst = append(burst, namedCall(1<<32+random.Uint64N(calls), endpoints[0])...)
+			}
+			return burst
+		})
+	}
+	usual.callFor(duration)
+	usual.expectNoneLost()
+}
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -25,6 +25,8 @@
 	// connection does so later.
 	clientConfirmAfter = 1000.0
 	maxClientReleases  = 65536 // owed to all clients together
+	// overflowsPerSearch is how many releases one client loses before the client with the most is searched for again.
+	overflowsPerSearch = 512
 )
 
 // onMessage implements peer.
@@ -218,15 +220,22 @@
 	if !g.clientReleases.Exceeded() {
 		return
 	}
-	var most *client
+	if g.overflowsUntilSearch == 0 || g.mostOwed.outbox.Len() == 0 {
+		g.mostOwed = g.clientOwedMost()
+		g.overflowsUntilSearch = overflowsPerSearch
+	}
+	g.overflowsUntilSearch--
+	g.mostOwed.outbox.GiveUpOldest()
+}
+
+// clientOwedMost returns the client to which most releases are owed.
+func (g *Gateway) clientOwedMost() (most *client) {
 	for _, c := range g.clients {
 		if most == nil || c.outbox.Len() > most.outbox.Len() {
 			most = c
 		}
 	}
-	if most != nil {
-		most.outbox.GiveUpOldest()
-	}
+	return most
 }
 
 func releaseMessage(callID uint64, cause byte) []byte {
--- a/internal/protocol/binarygateway/gateway.go
+++ b/internal/protocol/binarygateway/gateway.go
@@ -75,8 +75,11 @@
 	draining      bool
 	randomDraws   uint64 // random numbers drawn so far
 
-	clientReleases   delivery.Budget // owed to clients
-	endpointReleases delivery.Budget // owed to endpoints
+	clientReleases delivery.Budget // owed to clients
+	// mostOwed is the client that loses releases while too many are owed to clients, for as many overflows.
+	mostOwed             *client
+	overflowsUntilSearch int
+	endpointReleases     delivery.Budget // owed to endpoints
 }
 
 // healthCheck is a client's unanswered query whether this gateway takes calls.
--- a/internal/protocol/delivery/outbox.go
+++ b/internal/protocol/delivery/outbox.go
@@ -158,7 +158,7 @@
 	}
 	switch {
 	case oldest != nil:
-		o.remove(oldestConn, func(r *Release) bool { return r == oldest })
+		o.removeFirst(oldestConn)
 	case len(o.waiting) > 0:
 		o.waiting = o.waiting[1:]
 		o.budget.used--
@@ -180,6 +180,18 @@
 	o.remove(conn, func(r *Release) bool { return r.sentAt+o.confirmAfter < now })
 }
 
+// removeFirst removes the oldest release on a connection, in a time that does not depend on how many there are.
+func (o *Outbox[C]) removeFirst(conn C) {
+	releases := o.onConn[conn]
+	releases[0] = nil
+	o.budget.used--
+	if len(releases) == 1 {
+		delete(o.onConn, conn)
+		return
+	}
+	o.onConn[conn] = releases[1:]
+}
+
 func (o *Outbox[C]) remove(conn C, delivered func(*Release) bool) {
 	before := o.onConn[conn]
 	if len(before) == 0 {
