Owed releases: a client gets one on 8 connections at most

Cause: made-up calls that lose their place are released towards their client. Such a release counts as delivered when its connection stays open for 1 s; otherwise it is sent again. A client whose connections never last got all its releases on each of them: thousands each time. A profile of the gateway in the test showed client.onClosed, sendWaitingReleases and deliver.

Change: a release that was sent completely on 8 connections is given up (client_releases.given_up).

TestReleaseIsNotSentForever is new (100 connections: the release went out on each before, on 8 at most after).

--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -25,6 +25,9 @@
 	// connection does so later.
 	clientConfirmAfter = 1000.0
 	maxClientReleases  = 65536 // owed to all clients together
+	// maxClientSends is on how many connections a release is sent. A client whose connections never last for
+	// clientConfirmAfter would get all its releases on each of them.
+	maxClientSends = 8
 	// overflowsPerSearch is how many releases one client loses before the client with the most is searched for again.
 	overflowsPerSearch = 512
 )
@@ -146,6 +149,10 @@
 func (c *client) onClosed(conn *Conn, _ CloseReason) {
 	c.removeConn(conn)
 	for _, release := range c.outbox.ConnEnded(conn, c.gateway.Now) {
+		if release.Sends >= maxClientSends {
+			c.outbox.GiveUp(release)
+			continue
+		}
 		c.deliver(release, nil)
 	}
 }
--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -53,6 +53,29 @@
 	}
 }
 
+// TestReleaseIsNotSentForever guards against a gateway that is kept busy by a client whose connections all end at once:
+// it got each release that it is owed on each of its connections.
+func TestReleaseIsNotSentForever(t *testing.T) {
+	g := newTestGateway(t)
+	caller := g.acceptClient()
+	conn := g.establish(caller, 7)
+	g.gateway.OnClosed(g.now, caller.gatewayConn, ClosedNormally)
+	g.deliver(conn, binarymessage.Release, 7, binarymessage.CauseParam(binarymessage.Normal))
+	sent := 0
+	for range 100 {
+		next := g.acceptAndStep()
+		sent += next.countMessages(7, binarymessage.Release)
+		g.gateway.OnClosed(g.now, next.gatewayConn, ClosedNormally)
+		g.step()
+	}
+	if sent < 2 || sent > maxClientSends {
+		t.Errorf("the release was sent on %d connections, want 2 to %d", sent, maxClientSends)
+	}
+	if owed := g.gateway.clientReleases; owed.Exceeded() || g.gateway.Metrics.ClientReleases.GivenUp != 1 {
+		t.Errorf("%d releases were given up, want 1", g.gateway.Metrics.ClientReleases.GivenUp)
+	}
+}
+
 // TestCallerReleases: a caller may release a call on any of its connections. The release goes to the endpoint on the
 // connection of the setup, or on another if that has closed.
 func TestCallerReleases(t *testing.T) {
--- a/internal/protocol/delivery/outbox.go
+++ b/internal/protocol/delivery/outbox.go
@@ -17,6 +17,8 @@
 	// OnSent, if set, is called once: when the release has been sent, or has to wait for a connection.
 	OnSent func()
 
+	// Sends counts the connections on which it was sent completely.
+	Sends   int
 	ordinal uint64  // over all releases that were put on a connection
 	sentAt  float64 // +Inf while it is unsent on its connection
 }
@@ -28,6 +30,12 @@
 	}
 }
 
+// GiveUp ends a release that the outbox has returned and that was sent in vain too often.
+func (o *Outbox[C]) GiveUp(r *Release) {
+	o.counts.GivenUp++
+	r.Drop()
+}
+
 // Drop ends a release that is no longer owed and that the outbox has returned.
 func (r *Release) Drop() { r.reportSent() }
 
@@ -37,6 +45,7 @@
 	SentAgain uint64 `json:"sent_again"` // because their connection had ended
 	Waited    uint64 `json:"waited"`     // for a connection
 	Expired   uint64 `json:"expired"`    // given up: no connection came in time
+	GivenUp   uint64 `json:"given_up"`   // sent too often: each connection ended too soon to tell whether it arrived
 	// Overflowed counts those that were given up because of the limit.
 	Overflowed uint64 `json:"overflowed"`
 }
@@ -107,6 +116,7 @@
 // Sent records that a release has been sent on its connection.
 func (o *Outbox[C]) Sent(r *Release, now float64) {
 	r.sentAt = now
+	r.Sends++
 	r.reportSent()
 }
 
