Client connections: the end of one no longer costs a walk through all calls

Cause: client.removeConn walked through g.calls, over 8,000, at each end of a connection that had a call.

Change: a connection knows its calls (Conn.calls, kept by call.setConn).

--- a/internal/gateway/binaryserver/badclients_test.go
+++ b/internal/gateway/binaryserver/badclients_test.go
@@ -196,3 +196,35 @@
 	usual.callFor(duration)
 	usual.expectNoneLost()
 }
+
+// TestReconnectingClientsDelayNobody guards against setups of usual clients that are answered seconds late, because each
+// end of a connection with a call costs a walk through all calls that are held.
+func TestReconnectingClientsDelayNobody(t *testing.T) {
+	const clients, held, duration = 8, 8000, 8 * time.Second
+	endpoints := []*testEndpoint{newTestEndpoint(t, "s-0"), newTestEndpoint(t, "s-1")}
+	server := newTestServer(t, newTestNameServer(t, 1, endpoints...), endpoints...)
+	usual := newUsualClient(server)
+	bad := newBadClients(server)
+	bad.start(clients, func(conn net.Conn) {
+		var burst []byte
+		for k := range uint64(held) {
+			burst = append(burst, namedCall(1<<32+k, endpoints[0])...)
+		}
+		_, _ = conn.Write(burst)
+	})
+	end := time.Now().Add(duration)
+	for i := range clients {
+		random := rand.New(rand.NewPCG(2, uint64(i)))
+		bad.goroutines.Go(func() {
+			for time.Now().Before(end) {
+				if conn := bad.dial(i); conn != nil {
+					_, _ = conn.Write(append(namedCall(random.Uint64()|1<<63, endpoints[0]), setupMessage(random.Uint64()|1<<63)...))
+					time.Sleep(2 * time.Millisecond)
+					conn.Close()
+				}
+			}
+		})
+	}
+	usual.callFor(duration)
+	usual.expectNoneLost()
+}
--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -130,6 +130,21 @@
 	}
 }
 
+// setConn selects the client's connection for the answer or the release; nil: none.
+func (c *call) setConn(conn *Conn) {
+	if c.conn != nil {
+		delete(c.conn.calls, c)
+	}
+	c.conn = conn
+	if conn == nil {
+		return
+	}
+	if conn.calls == nil {
+		conn.calls = map[*call]struct{}{}
+	}
+	conn.calls[c] = struct{}{}
+}
+
 // forget removes a pending call that has its final answer or needs none.
 func (c *call) forget() {
 	if c.gateway.calls[c.id] == c {
@@ -137,7 +152,7 @@
 	}
 	if c.conn != nil {
 		c.conn.pendingCalls--
-		c.conn = nil
+		c.setConn(nil)
 	}
 	c.setup = nil
 }
@@ -182,7 +197,7 @@
 		}
 		c.client = conn.client
 	}
-	c.conn = conn
+	c.setConn(conn)
 	conn.establishedCalls++
 }
 
@@ -207,6 +222,7 @@
 		u.rememberEnd(c.id, cause) // in case the release is lost with the client's connection
 		c.client.sendRelease(c.conn, c.id, cause)
 	}
+	c.setConn(nil)
 	if c.isResumed() {
 		g.resumed.remove(c.client, c)
 		return
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"cobaltpier/internal/protocol/binarymessage"
@@ -105,12 +106,12 @@
 		gateway: g,
 		id:      id,
 		client:  c,
-		conn:    conn,
 		setup:   slices.Clone(message),
 	}
 	call.SignalingLeg = call
 	call.Deadline = call.TimeoutStart + request.timeout - g.config.AnswerMargin
 	g.calls[id] = call
+	call.setConn(conn)
 	conn.pendingCalls++
 	g.Enqueue(call.Session)
 }
@@ -163,19 +164,9 @@
 	c.disconnectedAt = g.Now
 	g.clientConns = slices.DeleteFunc(g.clientConns, func(other *Conn) bool { return other == conn })
 	g.pendingChecks = slices.DeleteFunc(g.pendingChecks, func(check healthCheck) bool { return check.conn == conn })
-	if conn.pendingCalls == 0 && conn.establishedCalls == 0 {
-		return
-	}
-	var affected []*call
-	for _, call := range g.calls {
-		if call.conn == conn {
-			affected = append(affected, call)
-		}
-	}
-	slices.SortFunc(affected, compareByID)
-	for _, call := range affected {
+	for _, call := range slices.SortedFunc(maps.Keys(conn.calls), compareByID) {
 		if call.upstream != nil {
-			call.conn = nil
+			call.setConn(nil)
 		} else {
 			call.onCallerGone()
 		}
--- a/internal/protocol/binarygateway/conn.go
+++ b/internal/protocol/binarygateway/conn.go
@@ -29,7 +29,8 @@
 
 	// of a client's connection
 	client           *client
-	writeClosed      bool // no more data is written to it
+	calls            map[*call]struct{} // whose answer or release would be sent on it
+	writeClosed      bool               // no more data is written to it
 	openedAt         float64
 	lastUsedAt       float64
 	receivedMessage  bool
