Large setups: limited by memory_mb while their calls have no final answer

Cause: calls without a final answer were limited by number (2,000), each with its whole setup of up to 16 KiB: 32 MB. Checked on sockets and not the cause: 400 clients that stop half way (18.4 MB), 400 slow ones (13.7 MB).

Change: setups of over 1 KiB take an eighth of memory_mb at most (loadshed.SetupMemory); one above that is rejected at once with a time to come back. Small ones are limited by number as before.

--- a/internal/gateway/binaryserver/server.go
+++ b/internal/gateway/binaryserver/server.go
@@ -117,6 +117,7 @@
 		MaxDescriptors: s.config.Limits.Descriptors,
 		AnswerMargin:   answerMargin,
 		LoadShedding:   loadshed.Gate{MaxPending: maxPending},
+		SetupMemory:    loadshed.NewSetupMemory(s.config.Limits.MemoryMB * (1 << 20)),
 		FromUnixMillis: func(unix float64) float64 { return clockOrigin + unix - startedAtUnix },
 	}, newPolicy, s)
 	if s.log.GetLevel() <= zerolog.TraceLevel {
--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -50,13 +50,13 @@
 
 // SendRejection implements callcontrol.SignalingLeg.
 func (c *call) SendRejection(retryAfter float64) {
-	c.sendRefusal(c.rejectionParams(retryAfter)...)
+	c.sendRefusal(c.gateway.rejectionParams(retryAfter)...)
 }
 
 // rejectionParams returns the parameters of a rejection; a retryAfter above 0 asks the caller to wait that many ms.
-func (c *call) rejectionParams(retryAfter float64) []binarymessage.Param {
+func (g *Gateway) rejectionParams(retryAfter float64) []binarymessage.Param {
 	params := []binarymessage.Param{binarymessage.CauseParam(binarymessage.Congested)}
-	if retryAfter > 0 && c.gateway.config.Settings.RetryAfterEnabled {
+	if retryAfter > 0 && g.config.Settings.RetryAfterEnabled {
 		milliseconds := strconv.Itoa(int(math.Ceil(retryAfter)))
 		params = append(params, binarymessage.TextParam(binarymessage.RetryAfter, milliseconds))
 	}
@@ -66,7 +66,7 @@
 // SendShed implements callcontrol.SignalingLeg.
 func (c *call) SendShed(retryAfter float64) {
 	if c.conn != nil {
-		c.conn.send(binarymessage.Append(nil, binarymessage.Release, c.id, c.rejectionParams(retryAfter)...))
+		c.conn.send(binarymessage.Append(nil, binarymessage.Release, c.id, c.gateway.rejectionParams(retryAfter)...))
 	}
 	c.forget()
 }
@@ -154,6 +154,12 @@
 		c.conn.pendingCalls--
 		c.setConn(nil)
 	}
+	c.dropSetup()
+}
+
+// dropSetup frees the client's setup, which is not needed any more.
+func (c *call) dropSetup() {
+	c.gateway.setupMemory.Free(len(c.setup))
 	c.setup = nil
 }
 
@@ -166,7 +172,8 @@
 	c.Established = true
 	g.AddEstablished(1)
 	g.Counts.Answered++
-	c.upstream, c.upstreamConn, c.attempt, c.setup = u, conn, attempt, nil
+	c.upstream, c.upstreamConn, c.attempt = u, conn, attempt
+	c.dropSetup()
 	c.endpointUpSince = conn.connectedAt
 	u.established[c.id] = c
 	c.client.establishedCalls++
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -101,6 +101,12 @@
 		Destination:   g.Endpoints.ByDestination(request.destinationID),
 		Resumed:       request.repeated,
 	}
+	if !g.setupMemory.Reserve(len(message)) {
+		g.Counts.Shed++
+		g.Metrics.LargeSetupsShed++
+		conn.send(binarymessage.Append(nil, binarymessage.Release, id, g.rejectionParams(g.Router.RetryAfter(g.Now, routed))...))
+		return
+	}
 	call := &call{
 		Session: g.NewSession(routed, request.timeout),
 		gateway: g,
--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"cobaltpier/internal/decision/connlimit"
+	"cobaltpier/internal/decision/loadshed"
 	"cobaltpier/internal/protocol/binarymessage"
 )
 
@@ -300,6 +301,41 @@
 	}
 }
 
+// TestLargeSetupsAreLimitedByMemory guards against a gateway that goes over its memory limit because clients send many
+// setups of the maximum size: they were limited by their number alone. Small ones are still admitted, and the memory is
+// free again after the final answers.
+func TestLargeSetupsAreLimitedByMemory(t *testing.T) {
+	const processBytes, large = 32 << 20, 16000
+	g := newTestGateway(t)
+	g.gateway.setupMemory = loadshed.NewSetupMemory(processBytes)
+	g.policy.holdCalls = true
+	caller := g.acceptClient()
+	for id := uint64(1); id <= 900; id++ {
+		g.deliver(caller, binarymessage.Setup, id,
+			binarymessage.TextParam(binarymessage.Class, "voice"),
+			binarymessage.TextParam(binarymessage.Timeout, "3000"),
+			binarymessage.TextParam(binarymessage.Number, "1"),
+			binarymessage.Param{Code: binarymessage.Description, Value: make([]byte, large)})
+	}
+	held := 0
+	for _, call := range g.gateway.calls {
+		held += len(call.setup)
+	}
+	if held == 0 || held > processBytes/4 {
+		t.Errorf("setups of %d bytes are held, want up to a quarter of %d", held, processBytes)
+	}
+	g.expectMessage(caller.lastMessage(900), binarymessage.Release, binarymessage.Congested)
+	g.deliverSetup(g.acceptClient(), 1000)
+	if g.gateway.calls[1000] == nil {
+		t.Error("a small setup was refused, want it admitted")
+	}
+	g.gateway.OnClosed(g.now, caller.gatewayConn, ClosedNormally)
+	g.step()
+	if g.gateway.setupMemory != loadshed.NewSetupMemory(processBytes) {
+		t.Errorf("memory %+v is taken by large setups, want none", g.gateway.setupMemory)
+	}
+}
+
 // TestStalledReader: a caller that does not read is disconnected when its queue is too long, and does not block others.
 func TestStalledReader(t *testing.T) {
 	g := newTestGateway(t)
--- a/internal/protocol/binarygateway/gateway.go
+++ b/internal/protocol/binarygateway/gateway.go
@@ -48,6 +48,7 @@
 	MaxDescriptors int     // file descriptors of the process
 	AnswerMargin   float64 // ms before the end of the caller's timeout by which the final answer is sent
 	LoadShedding   loadshed.Gate
+	SetupMemory    loadshed.SetupMemory
 	// DisabledGuard disables the guard of one rule, for tests of the conformance checker. 0 disables none.
 	DisabledGuard routing.Rule
 	// FromUnixMillis converts Unix time, in ms, to the gateway's clock.
@@ -63,6 +64,7 @@
 
 	config        *Config
 	transport     Transport
+	setupMemory   loadshed.SetupMemory
 	calls         map[uint64]*call // by ID: pending and established
 	upstreams     map[*routing.Endpoint]*upstream
 	clients       map[netip.Addr]*client
@@ -113,6 +115,7 @@
 		clients:    map[netip.Addr]*client{},
 		startedAt:  now,
 
+		setupMemory:      config.SetupMemory,
 		clientReleases:   delivery.Budget{Limit: maxClientReleases},
 		endpointReleases: delivery.Budget{Limit: maxEndpointReleases},
 	}
--- a/internal/protocol/binarygateway/metrics.go
+++ b/internal/protocol/binarygateway/metrics.go
@@ -12,6 +12,8 @@
 	InvalidRequests uint64 `json:"invalid_requests"` // well-formed messages with invalid content
 	Duplicates      uint64 `json:"duplicates"`       // setups or answers under an ID that is in use
 
+	LargeSetupsShed uint64 `json:"large_setups_shed"` // rejected because large setups took too much memory
+
 	// ChecksFailedAtOnce counts health checks that failed because too many others waited until the gateway was ready.
 	ChecksFailedAtOnce uint64 `json:"checks_failed_at_once"`
 
