--- a/internal/gateway/binaryserver/badclients_test.go
+++ b/internal/gateway/binaryserver/badclients_test.go
@@ -197,8 +197,8 @@
 	usual.expectNoneLost()
 }
 
-// TestReconnectingClientsDelayNobody guards against setups of usual clients that are answered seconds late, because each
-// end of a connection with a call costs a walk through all calls that are held.
+// TestReconnectingClientsDelayNobody guards against setups of usual clients that are answered seconds late, because
+// each end of a connection with a call costs a walk through all calls that are held.
 func TestReconnectingClientsDelayNobody(t *testing.T) {
 	const clients, held, duration = 8, 8000, 8 * time.Second
 	endpoints := []*testEndpoint{newTestEndpoint(t, "s-0"), newTestEndpoint(t, "s-1")}
--- a/internal/protocol/binarygateway/client.go
+++ b/internal/protocol/binarygateway/client.go
@@ -104,7 +104,8 @@
 	if !g.setupMemory.Reserve(len(message)) {
 		g.Counts.Shed++
 		g.Metrics.LargeSetupsShed++
-		conn.send(binarymessage.Append(nil, binarymessage.Release, id, g.rejectionParams(g.Router.RetryAfter(g.Now, routed))...))
+		params := g.rejectionParams(g.Router.RetryAfter(g.Now, routed))
+		conn.send(binarymessage.Append(nil, binarymessage.Release, id, params...))
 		return
 	}
 	call := &call{
@@ -123,8 +124,8 @@
 }
 
 // wasCanceled reports whether an earlier call with the same ID was given up lately while an endpoint had its setup, or
-// was established there. It may have been executed, so the ID must not be attempted again, and a late answer to it could
-// not be told from one to a new setup.
+// was established there. It may have been executed, so the ID must not be attempted again, and a late answer to it
+// could not be told from one to a new setup.
 func (g *Gateway) wasCanceled(id uint64) bool {
 	for _, u := range g.upstreams {
 		if _, canceled := u.canceled[id]; canceled {
--- a/internal/protocol/binarygateway/endpointlist_test.go
+++ b/internal/protocol/binarygateway/endpointlist_test.go
@@ -6,13 +6,11 @@
 	"cobaltpier/internal/protocol/binarymessage"
 )
 
-// establishAt sets up a call at the first destination and returns the endpoint's connection.
-func (g *testGateway) establishAt(caller *testConn, id uint64) *testConn {
+// establishAtFirst sets up a call at the first destination.
+func (g *testGateway) establishAtFirst(caller *testConn, id uint64) {
 	g.policy.attemptOrder = []int{0}
 	g.deliverSetup(caller, id)
-	conn := g.setupConn(id)
-	g.deliver(conn, binarymessage.Answer, id, answerDescription)
-	return conn
+	g.deliver(g.setupConn(id), binarymessage.Answer, id, answerDescription)
 }
 
 // TestNewEndpointAtGoneAddress guards against calls that are released towards their clients while they are established
@@ -20,7 +18,7 @@
 func TestNewEndpointAtGoneAddress(t *testing.T) {
 	g := newTestGateway(t)
 	caller := g.acceptClient()
-	g.establishAt(caller, 7)
+	g.establishAtFirst(caller, 7)
 	g.advance(2000)
 	startedAt := g.now
 	for _, conn := range g.connsTo(addrA) { // its process dies, and the new one listens at once
@@ -28,7 +26,7 @@
 	}
 	g.advance(500)
 	for id := uint64(8); id <= 10; id++ {
-		g.establishAt(caller, id)
+		g.establishAtFirst(caller, id)
 	}
 	g.deliver(caller, binarymessage.Release, 10, binarymessage.CauseParam(binarymessage.Normal))
 	successor := readyEntry("c", addrA, 0)
