Setups: over 1,024 bytes of routing parameters are invalid

Cause: parseSetup read each of the fields, unknown ones too, before any other check.

Change: a setup with over 1,024 bytes of them is refused as invalid before they are read.

TestManyRoutingParams failed before the change, passes after it.

--- a/internal/protocol/binarygateway/client_test.go
+++ b/internal/protocol/binarygateway/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"cobaltpier/internal/decision/connlimit"
@@ -336,6 +337,25 @@
 	}
 }
 
+// TestManyRoutingParams guards against a gateway that is kept busy by setups with thousands of short routing parameters:
+// they are refused before these are read. Unknown ones are still allowed.
+func TestManyRoutingParams(t *testing.T) {
+	g := newTestGateway(t)
+	g.policy.attemptOrder = []int{0}
+	caller := g.acceptClient()
+	deliver := func(id uint64, routingParams string) {
+		g.deliver(caller, binarymessage.Setup, id,
+			binarymessage.TextParam(binarymessage.Class, "voice"),
+			binarymessage.TextParam(binarymessage.Timeout, "3000"),
+			binarymessage.TextParam(binarymessage.Number, "1"),
+			binarymessage.TextParam(binarymessage.RoutingParams, routingParams))
+	}
+	deliver(7, strings.Repeat("a:1;", 4000))
+	g.expectMessage(caller.lastMessage(7), binarymessage.Release, binarymessage.Invalid)
+	deliver(8, "dest:0;width:1;via:-1;"+strings.Repeat("a:1;", 200))
+	g.setupConn(8)
+}
+
 // TestStalledReader: a caller that does not read is disconnected when its queue is too long, and does not block others.
 func TestStalledReader(t *testing.T) {
 	g := newTestGateway(t)
--- a/internal/protocol/binarygateway/setup.go
+++ b/internal/protocol/binarygateway/setup.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	maxNumberLength = 64      // characters of a called number
-	maxTimeout      = 86400e3 // ms; longer timeouts are invalid
+	maxNumberLength = 64 // characters of a called number
+	// maxRoutingParamsLength limits the text of the routing parameters, in bytes, as each of its fields takes time.
+	maxRoutingParamsLength = 1024
+	maxTimeout             = 86400e3 // ms; longer timeouts are invalid
 	// maxSetupLength leaves room for the timeout, which may take more digits when it is rewritten for the endpoint.
 	maxSetupLength = binarymessage.MaxLength - 16
 )
@@ -48,7 +50,11 @@
 		timeout = math.NaN()
 	}
 	request.timeout = timeout
-	for parameter := range parameters(message.Text(binarymessage.RoutingParams)) {
+	routingParams, _ := message.Get(binarymessage.RoutingParams)
+	if len(routingParams) > maxRoutingParamsLength {
+		return request, fmt.Errorf("%w: %d bytes of routing parameters", errInvalidSetup, len(routingParams))
+	}
+	for parameter := range parameters(string(routingParams)) {
 		if err := request.apply(parameter); err != nil {
 			return request, err
 		}
