Resumed calls: one that ended with its endpoint's process is released, not taken over

The endpoint's new process was taken for the one that had the call.

Cause: endpointUpSince of a named call was the time of the naming, although a call of the gateway's former process was set up before this process started.

--- a/internal/protocol/binarygateway/call.go
+++ b/internal/protocol/binarygateway/call.go
@@ -25,7 +25,7 @@
 	attempt      *routing.Attempt
 	upstreamConn *Conn // nil if closed
 	// endpointUpSince is a time at which the endpoint's process was running already: when the connection was opened on
-	// which the call was set up, or when a call of an earlier process of this gateway was resumed.
+	// which the call was set up, or, for a resumed call, see resumedUpSince.
 	endpointUpSince float64
 	resumedElement  *list.Element // of a resumed call: its place among those of its client
 }
--- a/internal/protocol/binarygateway/resumedcalls.go
+++ b/internal/protocol/binarygateway/resumedcalls.go
@@ -133,13 +133,20 @@
 		c.sendRelease(conn, id, cause)
 		return
 	}
+	upSince := g.resumedUpSince()
+	if upSince < u.startedAt-restartClockTolerance { // it ended with the endpoint's process
+		g.Metrics.CallsCut++
+		u.rememberEnd(id, binarymessage.Failure)
+		c.sendRelease(conn, id, binarymessage.Failure)
+		return
+	}
 	if g.resumed.count >= maxResumedCalls && !g.makeRoomForResumed(c) {
 		g.Metrics.ResumesRefused++
 		conn.send(releaseMessage(id, binarymessage.Failure))
 		return
 	}
 	g.Metrics.CallsResumed++
-	call := &call{gateway: g, id: id, client: c, upstream: u, endpointUpSince: g.Now}
+	call := &call{gateway: g, id: id, client: c, upstream: u, endpointUpSince: upSince}
 	g.calls[id] = call
 	u.established[id] = call
 	c.establishedCalls++
@@ -147,6 +154,15 @@
 	call.bindTo(conn)
 }
 
+// resumedUpSince returns a time at which the endpoint's process of a call that is resumed now was running already. In
+// the time in which clients come back after a restart, the call is one of the gateway's former process.
+func (g *Gateway) resumedUpSince() float64 {
+	if g.Now < g.startedAt+endedCallRetention {
+		return g.startedAt
+	}
+	return g.Now
+}
+
 // makeRoomForResumed releases the oldest resumed call of another client, because calls that no endpoint knows may have
 // been named there. It returns false if the given client may not take a place of another one. The call is not released
 // at the endpoint, because its ID may be made up.
--- a/internal/protocol/binarygateway/resumedcalls_test.go
+++ b/internal/protocol/binarygateway/resumedcalls_test.go
@@ -111,3 +111,32 @@
 		t.Error("an absent client has lost all of its calls, want some kept")
 	}
 }
+
+// TestResumedAfterEndpointRestart guards against a call of the gateway's former process that is never released to its
+// client: the endpoint restarted before the client resumed it, and its new process was taken for the one that had the
+// call. The list may tell the start before the client comes or after.
+func TestResumedAfterEndpointRestart(t *testing.T) {
+	for _, toldFirst := range []bool{false, true} {
+		g := newTestGateway(t)
+		g.advance(3000)
+		restarted := readyEntry("a", addrA, 0)
+		restarted.StartedAt = g.now
+		g.advance(1000)
+		caller := g.acceptClient()
+		if !toldFirst {
+			g.resume(caller, 7)
+		}
+		g.setEndpoints(2, restarted, readyEntry("b", addrB, 1))
+		g.step()
+		if toldFirst {
+			g.resume(caller, 7)
+		}
+		g.expectMessage(caller.lastMessage(7), binarymessage.Release, binarymessage.Failure)
+		g.advance(endedCallRetention)
+		caller = g.acceptClient()
+		g.resume(caller, 8)
+		if m := caller.lastMessage(8); m != nil {
+			t.Errorf("a call that is named long after the restart got %x, want nothing", []byte(m))
+		}
+	}
+}
