--- a/ci_test.go
+++ b/ci_test.go
@@ -37,7 +37,7 @@
 		{"no list", "", "", ""},
 		{"one test", badLine, "^(TestBad)$", badLine},
 		{"two tests", badLine + "\n./a TestWorse: wrong order, issue 8\n", "^(TestBad|TestWorse)$", "TestWorse"},
-		{"a test that fails sometimes", "./a TestGood (sometimes): wrong total, issue 7", "^(TestGood)$", "TestGood"},
+		{"failing sometimes", "./a TestGood (sometimes): wrong total, issue 7", "^(TestGood)$", "TestGood"},
 		{"an unknown mark", "./a TestGood (never): wrong total, issue 7", "", "want 'package TestName: cause, issue N'"},
 		{"no cause", "./a TestBad: , issue 7", "", "want 'package TestName: cause, issue N'"},
 		{"no issue", "./a TestBad: wrong total", "", "want 'package TestName: cause, issue N'"},
