--- a/internal/gateway/sipserver/numbers_test.go
+++ b/internal/gateway/sipserver/numbers_test.go
@@ -65,8 +65,8 @@
 }
 
 // TestNumberTablesInService runs a gateway with number tables on real sockets: portability by DNS, over TCP where the
-// datagram is truncated; a table is put in service, another is refused, the gateway restarts with the running table and goes back
-// to the one before.
+// datagram is truncated; a table is put in service, another is refused, the gateway restarts with the running table and
+// goes back to the one before.
 func TestNumberTablesInService(t *testing.T) {
 	existing := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, existing) })
